Build, typed errors, ids, timer service and the network interfaces

Cause: the slices need one ground to stand on before they can be built side by side. Change: CMake presets, one list of Debian packages, the check script, src/base with its tests, and the headers of src/net. Conclusion: the ground is in place; no daemon yet.

--- /dev/null
+++ b/cmake/Libraries.cmake
@@ -0,0 +1,20 @@
+# The libraries that the slices use, each as one imported target.
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(ABSL REQUIRED IMPORTED_TARGET absl_status absl_statusor absl_strings)
+pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
+pkg_check_modules(JSONCPP REQUIRED IMPORTED_TARGET jsoncpp)
+pkg_check_modules(OPENSSL REQUIRED IMPORTED_TARGET libssl libcrypto)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+find_package(Boost REQUIRED COMPONENTS log log_setup)
+
+find_library(H2O_LIBRARY h2o-evloop REQUIRED)
+add_library(currantwalk_h2o INTERFACE)
+target_compile_definitions(currantwalk_h2o INTERFACE H2O_USE_LIBUV=0)
+target_link_libraries(currantwalk_h2o INTERFACE ${H2O_LIBRARY} PkgConfig::OPENSSL z pthread)
+
+find_library(PROMETHEUS_CORE_LIBRARY prometheus-cpp-core REQUIRED)
+find_library(POPT_LIBRARY popt REQUIRED)
+find_library(RAPIDCHECK_LIBRARY rapidcheck)
+find_library(JSONRPC_COMMON_LIBRARY jsonrpccpp-common REQUIRED)
+find_library(JSONRPC_SERVER_LIBRARY jsonrpccpp-server REQUIRED)
+find_library(JSONRPC_CLIENT_LIBRARY jsonrpccpp-client REQUIRED)
--- /dev/null
+++ b/src/base/ids.h
@@ -0,0 +1,70 @@
+#ifndef CURRANTWALK_BASE_IDS_H
+#define CURRANTWALK_BASE_IDS_H
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace currantwalk {
+
+/// A string that names one kind of thing; kinds do not mix.
+template<typename Tag>
+class Name
+{
+public:
+    Name() = default;
+    explicit Name(std::string text) : m_text(std::move(text)) {}
+
+    const std::string &text() const { return m_text; }
+    bool isEmpty() const { return m_text.empty(); }
+
+    friend bool operator==(const Name &, const Name &) = default;
+    friend auto operator<=>(const Name &, const Name &) = default;
+
+private:
+    std::string m_text;
+};
+
+using VmId = Name<struct VmIdTag>;         ///< One entry VM and the daemon on it.
+using ZoneName = Name<struct ZoneNameTag>; ///< An availability zone.
+using TargetId = Name<struct TargetIdTag>; ///< A model engine or plain service instance.
+using ModelName = Name<struct ModelNameTag>;
+using ServiceName = Name<struct ServiceNameTag>;
+using OrganisationName = Name<struct OrganisationNameTag>;
+using PriorityName = Name<struct PriorityNameTag>;
+using RequestId = Name<struct RequestIdTag>;
+
+/// Counts the starts of one VM's daemon or of one target; a higher one supersedes.
+using Incarnation = std::uint64_t;
+/// An offset in a stream of the platform's log.
+using LogOffset = std::uint64_t;
+/// Numbers the attempts of one request from 1.
+using AttemptNumber = std::uint32_t;
+
+/// One run of a model over one prompt.
+struct GenerationId
+{
+    TargetId target;
+    Incarnation incarnation = 0;
+    std::uint64_t number = 0;
+
+    friend bool operator==(const GenerationId &, const GenerationId &) = default;
+};
+
+/// Returns a 64-bit hash of \a text that is alike on all nodes.
+std::uint64_t stableHash(const std::string &text, std::uint64_t seed = 0);
+
+} // namespace currantwalk
+
+template<typename Tag>
+struct std::hash<currantwalk::Name<Tag>>
+{
+    std::size_t operator()(const currantwalk::Name<Tag> &name) const
+    {
+        return std::hash<std::string>()(name.text());
+    }
+};
+
+#endif // CURRANTWALK_BASE_IDS_H
--- /dev/null
+++ b/src/base/json.cpp
@@ -0,0 +1,151 @@
+#include "base/json.h"
+
+#include <memory>
+#include <sstream>
+
+#include <json/reader.h>
+#include <json/writer.h>
+
+namespace currantwalk {
+
+static constexpr int MaxJsonDepth = 64;
+
+static Json::CharReaderBuilder makeReaderBuilder()
+{
+    Json::CharReaderBuilder builder;
+    Json::CharReaderBuilder::strictMode(&builder.settings_);
+    builder["strictRoot"] = false;
+    builder["stackLimit"] = MaxJsonDepth;
+    return builder;
+}
+
+static absl::Status memberError(const char *name, std::string_view expected)
+{
+    std::string detail = "member \"";
+    detail.append(name).append("\": expected ").append(expected);
+    return makeError(ErrorCode::JsonInvalid, detail);
+}
+
+static const Json::Value *findMember(const Json::Value &object, const char *name)
+{
+    if (!object.isObject() || !object.isMember(name))
+        return nullptr;
+    return &object[name];
+}
+
+absl::StatusOr<Json::Value> parseJson(std::string_view text)
+{
+    static const Json::CharReaderBuilder Builder = makeReaderBuilder();
+    if (!isValidUtf8(text))
+        return makeError(ErrorCode::JsonInvalid, "text is not UTF-8");
+    const std::unique_ptr<Json::CharReader> reader(Builder.newCharReader());
+    Json::Value value;
+    std::string problems;
+    // The library reports excessive depth by an exception and all else by its result.
+    try {
+        if (!reader->parse(text.data(), text.data() + text.size(), &value, &problems))
+            return makeError(ErrorCode::JsonInvalid, problems);
+    } catch (const Json::Exception &exception) {
+        return makeError(ErrorCode::JsonInvalid, exception.what());
+    }
+    return value;
+}
+
+std::string writeJson(const Json::Value &value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    builder["emitUTF8"] = true;
+    return Json::writeString(builder, value);
+}
+
+absl::StatusOr<std::string> stringMember(const Json::Value &object, const char *name)
+{
+    const Json::Value *member = findMember(object, name);
+    if (!member || !member->isString())
+        return memberError(name, "a string");
+    return member->asString();
+}
+
+absl::StatusOr<std::uint64_t> unsignedMember(const Json::Value &object, const char *name)
+{
+    const Json::Value *member = findMember(object, name);
+    if (!member || !member->isUInt64())
+        return memberError(name, "a whole number of at least 0");
+    return member->asUInt64();
+}
+
+absl::StatusOr<double> numberMember(const Json::Value &object, const char *name)
+{
+    const Json::Value *member = findMember(object, name);
+    if (!member || !member->isNumeric())
+        return memberError(name, "a number");
+    return member->asDouble();
+}
+
+absl::StatusOr<bool> boolMember(const Json::Value &object, const char *name)
+{
+    const Json::Value *member = findMember(object, name);
+    if (!member || !member->isBool())
+        return memberError(name, "true or false");
+    return member->asBool();
+}
+
+static std::size_t sequenceLength(unsigned char lead)
+{
+    if (lead < 0x80)
+        return 1;
+    if (lead >= 0xC2 && lead <= 0xDF)
+        return 2;
+    if ((lead & 0xF0) == 0xE0)
+        return 3;
+    if (lead >= 0xF0 && lead <= 0xF4)
+        return 4;
+    return 0;
+}
+
+// The second byte's range excludes overlong forms, surrogates and values past U+10FFFF.
+static bool isValidSecondByte(unsigned char lead, unsigned char second)
+{
+    switch (lead) {
+    case 0xE0:
+        return second >= 0xA0 && second <= 0xBF;
+    case 0xED:
+        return second >= 0x80 && second <= 0x9F;
+    case 0xF0:
+        return second >= 0x90 && second <= 0xBF;
+    case 0xF4:
+        return second >= 0x80 && second <= 0x8F;
+    default:
+        return second >= 0x80 && second <= 0xBF;
+    }
+}
+
+static bool isValidSequence(std::string_view sequence)
+{
+    if (sequence.size() == 1)
+        return true;
+    const auto lead = static_cast<unsigned char>(sequence[0]);
+    if (!isValidSecondByte(lead, static_cast<unsigned char>(sequence[1])))
+        return false;
+    for (const char c : sequence.substr(2)) {
+        if ((static_cast<unsigned char>(c) & 0xC0) != 0x80)
+            return false;
+    }
+    return true;
+}
+
+bool isValidUtf8(std::string_view text)
+{
+    while (!text.empty()) {
+        const std::size_t length = sequenceLength(static_cast<unsigned char>(text[0]));
+        if (length == 0 || length > text.size())
+            return false;
+        if (!isValidSequence(text.substr(0, length)))
+            return false;
+        text.remove_prefix(length);
+    }
+    return true;
+}
+
+} // namespace currantwalk
--- /dev/null
+++ b/src/base/json.h
@@ -0,0 +1,31 @@
+#ifndef CURRANTWALK_BASE_JSON_H
+#define CURRANTWALK_BASE_JSON_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <json/value.h>
+
+#include "base/error.h"
+
+namespace currantwalk {
+
+/// Parses one JSON value; refuses trailing text, duplicate keys, invalid UTF-8 and depth over 64.
+/// Fails with JsonInvalid.
+absl::StatusOr<Json::Value> parseJson(std::string_view text);
+/// Writes \a value on one line.
+std::string writeJson(const Json::Value &value);
+
+/// Reads a member of an object; fails with JsonInvalid where it is absent or of another type.
+absl::StatusOr<std::string> stringMember(const Json::Value &object, const char *name);
+absl::StatusOr<std::uint64_t> unsignedMember(const Json::Value &object, const char *name);
+absl::StatusOr<double> numberMember(const Json::Value &object, const char *name);
+absl::StatusOr<bool> boolMember(const Json::Value &object, const char *name);
+
+/// Returns whether \a text is well-formed UTF-8.
+bool isValidUtf8(std::string_view text);
+
+} // namespace currantwalk
+
+#endif // CURRANTWALK_BASE_JSON_H
--- /dev/null
+++ b/src/base/randomsource.h
@@ -0,0 +1,42 @@
+#ifndef CURRANTWALK_BASE_RANDOMSOURCE_H
+#define CURRANTWALK_BASE_RANDOMSOURCE_H
+
+#include <cstddef>
+#include <cstdint>
+
+#include <pcg_random.hpp>
+
+#include "base/timerservice.h"
+
+namespace currantwalk {
+
+/// A seeded source of random numbers; the same seed gives the same numbers on every machine.
+class RandomSource
+{
+public:
+    explicit RandomSource(std::uint64_t seed) : m_engine(seed) {}
+
+    std::uint64_t next64();
+    /// Returns a number in [0, 1).
+    double uniform();
+    /// Returns a number in [0, \a bound). \pre bound > 0
+    std::uint64_t below(std::uint64_t bound);
+    /// Returns true with probability \a p.
+    bool chance(double p) { return uniform() < p; }
+    /// Returns a duration in [0, \a bound]: full jitter.
+    Duration jitter(Duration bound);
+    /// Returns an exponentially distributed number with the given mean.
+    double exponential(double mean);
+    /// Returns a normally distributed number.
+    double normal(double mean, double deviation);
+
+private:
+    pcg32 m_engine;
+};
+
+/// Returns a seed that differs from process to process, from the operating system.
+std::uint64_t entropySeed();
+
+} // namespace currantwalk
+
+#endif // CURRANTWALK_BASE_RANDOMSOURCE_H
--- /dev/null
+++ b/src/base/timerqueue.h
@@ -0,0 +1,61 @@
+#ifndef CURRANTWALK_BASE_TIMERQUEUE_H
+#define CURRANTWALK_BASE_TIMERQUEUE_H
+
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+#include "base/timerservice.h"
+
+namespace currantwalk {
+
+/// The ordered queue that the real and the virtual timer service share.
+class TimerQueue
+{
+public:
+    TimerId insert(TimePoint when, TimerService::Callback callback)
+    {
+        const TimerId id = ++m_lastId;
+        m_entries.emplace(Key{when, id}, std::move(callback));
+        m_times.emplace(id, when);
+        return id;
+    }
+
+    void remove(TimerId id)
+    {
+        const auto it = m_times.find(id);
+        if (it == m_times.end())
+            return;
+        m_entries.erase(Key{it->second, id});
+        m_times.erase(it);
+    }
+
+    std::optional<TimePoint> earliest() const
+    {
+        if (m_entries.empty())
+            return std::nullopt;
+        return m_entries.begin()->first.first;
+    }
+
+    /// Takes out the earliest entry. \pre earliest() has a value.
+    TimerService::Callback take()
+    {
+        auto node = m_entries.extract(m_entries.begin());
+        m_times.erase(node.key().second);
+        return std::move(node.mapped());
+    }
+
+    std::size_t size() const { return m_entries.size(); }
+
+private:
+    using Key = std::pair<TimePoint, TimerId>;
+
+    std::map<Key, TimerService::Callback> m_entries;
+    std::unordered_map<TimerId, TimePoint> m_times;
+    TimerId m_lastId = NoTimer;
+};
+
+} // namespace currantwalk
+
+#endif // CURRANTWALK_BASE_TIMERQUEUE_H
--- /dev/null
+++ b/utils/check.sh
@@ -0,0 +1,100 @@
+#!/usr/bin/env bash
+# Installs, builds, checks format and lint, runs every test in release and under sanitizers.
+# Ends on the line 'N passed, N failed'. Tests named in KNOWN-RED.txt are printed, not counted.
+# usage: check.sh [--quick]     --quick leaves out lint, the sanitizer build, fuzzing and the demo
+set -uo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
+
+quick=no
+[ "${1:-}" = --quick ] && quick=yes
+passed=0
+failed=0
+jobs=$(nproc)
+out=$(mktemp -d)
+trap 'rm -rf "$out"' EXIT
+
+ok() { passed=$((passed + ${2:-1})); echo "pass: $1"; }
+bad() { failed=$((failed + ${2:-1})); echo "FAIL: $1"; }
+finish() { echo "$passed passed, $failed failed"; [ "$failed" -eq 0 ]; exit; }
+
+is_known_red() { [ -f KNOWN-RED.txt ] && grep -qF "$1" KNOWN-RED.txt; }
+
+# run_step NAME COMMAND...: one check that passes when the command ends 0.
+run_step() {
+    local name=$1
+    shift
+    if "$@" >"$out/step.log" 2>&1; then
+        ok "$name"
+        return 0
+    fi
+    tail -n 60 "$out/step.log"
+    if is_known_red "$name"; then
+        echo "known red: $name"
+    else
+        bad "$name"
+    fi
+    return 1
+}
+
+# run_tests PRESET: runs each test program and counts its single tests.
+run_tests() {
+    local preset=$1 program name log total red count
+    while IFS= read -r program; do
+        name="$preset/$(basename "$program")"
+        log="$out/$(basename "$program").log"
+        "$program" >"$log" 2>&1
+        local code=$?
+        total=$(grep -oE '(OK|Errors) \([^)]*' "$log" | grep -oE '[0-9]+ ran' | grep -oE '[0-9]+' | tail -1)
+        if [ -z "$total" ]; then
+            tail -n 60 "$log"
+            bad "$name ended without a summary (exit code $code)"
+            continue
+        fi
+        red=0
+        count=0
+        while IFS= read -r test; do
+            count=$((count + 1))
+            if is_known_red "$test"; then
+                red=$((red + 1))
+                echo "known red: $test in $name"
+            fi
+        done < <(grep -oE 'Failure in (IGNORE_)?TEST\([^)]*\)' "$log" | sed 's/^Failure in //' | sort -u)
+        [ "$count" -gt "$red" ] && { grep -A 12 'Failure in' "$log"; bad "$name" $((count - red)); }
+        # A program may fail after its tests, when the leak check runs.
+        [ "$code" -ne 0 ] && [ "$count" -eq 0 ] && { tail -n 60 "$log"; bad "$name (exit code $code)"; }
+        [ "$total" -gt "$count" ] && ok "$name: $((total - count)) tests" $((total - count))
+    done < <(find "build/$preset/src" -maxdepth 2 -name '*Tests' -type f -perm -u+x | sort)
+}
+
+sources() { git ls-files --cached --others --exclude-standard '*.cpp' '*.h' | sort; }
+
+check_format() { sources | xargs clang-format --dry-run --Werror; }
+
+check_lint() {
+    sources | grep '\.cpp$' | grep -v 'fuzz\.cpp$' \
+        | xargs -P "$jobs" -n 1 clang-tidy -p build/release --quiet 2>&1 | grep -v 'warnings generated'
+    return "${PIPESTATUS[2]}"
+}
+
+build() { cmake --preset "$1" && cmake --build --preset "$1" -j "$jobs"; }
+
+run_fuzzers() {
+    local fuzzer
+    for fuzzer in build/fuzz/src/*/*fuzz; do
+        [ -x "$fuzzer" ] || continue
+        run_step "fuzz $(basename "$fuzzer")" "$fuzzer" -runs=50000 -seed=1 -max_len=4096 -print_final_stats=0 \
+            -artifact_prefix="$out/"
+    done
+}
+
+run_step "install" utils/install-deps.sh || finish
+run_step "format" check_format
+run_step "build release" build release || finish
+run_tests release
+[ "$quick" = yes ] && finish
+run_step "build sanitize" build sanitize || finish
+run_tests sanitize
+run_step "build fuzz" build fuzz && run_fuzzers
+run_step "lint" check_lint
+[ -x utils/demo.sh ] && run_step "demo" utils/demo.sh
+finish
