--- /dev/null
+++ b/src/calls/generationcall.h
@@ -0,0 +1,141 @@
+#ifndef CURRANTWALK_CALLS_GENERATIONCALL_H
+#define CURRANTWALK_CALLS_GENERATIONCALL_H
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/error.h"
+#include "base/ids.h"
+#include "base/outcome.h"
+#include "base/randomsource.h"
+#include "base/timerservice.h"
+#include "targets/target.h"
+
+namespace currantwalk {
+
+/// What to do when an engine is lost after tokens of its answer were delivered.
+enum class LossPolicy {
+    End,     ///< End the stream with a typed error.
+    Restart, ///< Tell the caller that all earlier tokens are void, and start again.
+};
+
+/// How the answer goes to the caller.
+enum class Delivery {
+    Streamed, ///< Each token as it comes.
+    Whole,    ///< All at the end; may restart unseen.
+};
+
+/// A caller's request for a generation.
+struct GenerationRequest
+{
+    RequestId id;
+    std::string organisation;
+    std::string service;
+    std::string model;
+    std::uint32_t priorityRank = 0;
+    std::string prompt;
+    std::uint32_t promptTokens = 0;
+    std::uint32_t maxTokens = 0; ///< 0 where not said.
+    Delivery delivery = Delivery::Streamed;
+    LossPolicy lossPolicy = LossPolicy::End;
+    TimePoint deadline{};
+    std::uint64_t fingerprint = 0; ///< Of model and prompt; see PoisonTracker.
+};
+
+/// Where a caller's reconnection goes on: from a resume token.
+struct ResumePoint
+{
+    GenerationId generation;
+    std::uint32_t nextPosition = 0; ///< Of the first token that the caller lacks.
+};
+
+/// A try to run the request at one target. Attempt ids are unique in the fleet; an engine that gets
+/// the same one twice attaches to the generation that it already runs.
+struct GenerationAttempt
+{
+    AttemptNumber number = 0;
+    std::string id;
+    TargetId target;
+};
+
+/// How a generation ended at its engine.
+enum class FinishReason { Stop, Length };
+
+/// What the call asks of its surroundings. All are required. None may call back into the call from
+/// within itself; answers come as later calls of on…() with the exchange number given here.
+struct GenerationHooks
+{
+    /// Asks for a target; onPlaced() or onPlacementFailed() answers. A second one supersedes.
+    std::function<void(std::uint64_t exchange, const std::vector<TargetId> &excluded)> place;
+    /// Sends the prompt to the target as \a attempt.
+    std::function<void(std::uint64_t exchange, const GenerationAttempt &attempt)> open;
+    /// Reads a running generation from \a from on.
+    std::function<void(std::uint64_t exchange, const GenerationId &generation, std::uint32_t from)>
+            resume;
+    /// Drops the exchange: closes its connection, ignores its answer.
+    std::function<void(std::uint64_t exchange)> abandon;
+    /// Has the engine stop the generation (by attempt where no id is known yet) and confirm it.
+    std::function<void(const GenerationAttempt &attempt,
+                       const std::optional<GenerationId> &generation)>
+            cancel;
+    /// Gives one token to the caller.
+    std::function<void(const GenerationId &generation, std::uint32_t position,
+                       const std::string &text)>
+            deliver;
+    /// Tells the caller that all tokens so far are void.
+    std::function<void()> restart;
+    /// Ends the request with the whole answer.
+    std::function<void(FinishReason reason)> finish;
+    /// Ends the request with an error. \a retryAfter of 0 says nothing on when to come back.
+    std::function<void(const absl::Status &status, Outcome outcome, Duration retryAfter)> fail;
+    /// The target died, or is taken to have, while it ran this request.
+    std::function<void(const TargetId &target)> targetLost;
+    /// Whether the service's retry budget allows one more attempt; spends it if so.
+    std::function<bool()> takeRetry;
+};
+
+/// The life of one request for a generation: every token once, in order, from one generation.
+class GenerationCall
+{
+public:
+    /// Hooks, \a timers and \a random must outlive the result.
+    static std::unique_ptr<GenerationCall> create(GenerationRequest request, GenerationHooks hooks,
+                                                  TimerService &timers, RandomSource &random);
+
+    virtual ~GenerationCall() = default;
+
+    /// Begins a fresh request.
+    virtual void start() = 0;
+    /// Begins a request that a caller resumed.
+    virtual void startAt(const ResumePoint &point) = 0;
+
+    // Answers of the surroundings. An exchange that is no longer current is counted and dropped.
+    virtual void onPlaced(std::uint64_t exchange, const TargetId &target) = 0;
+    virtual void onPlacementFailed(std::uint64_t exchange, const absl::Status &status,
+                                   Duration retryAfter) = 0;
+    /// The engine named the generation that it runs.
+    virtual void onOpened(std::uint64_t exchange, const GenerationId &generation) = 0;
+    virtual void onToken(std::uint64_t exchange, std::uint32_t position, std::string text) = 0;
+    virtual void onFinished(std::uint64_t exchange, std::uint32_t tokens, FinishReason reason) = 0;
+    /// \a wasSent tells whether any of the request may have reached the target.
+    virtual void onExchangeFailed(std::uint64_t exchange, const absl::Status &status,
+                                  bool wasSent) = 0;
+    /// The target is known to be dead, at \a incarnation or before.
+    virtual void onTargetGone(const TargetId &target, Incarnation incarnation) = 0;
+
+    /// The caller's connection closed. The generation is cancelled after the resume window.
+    virtual void onCallerGone() = 0;
+    /// The caller's connection cannot take more; tokens are then kept, and bounded.
+    virtual void onCallerBlocked(bool isBlocked) = 0;
+
+    virtual bool isSettled() const = 0;
+    virtual const GenerationRequest &request() const = 0;
+    virtual std::uint64_t droppedAnswers() const = 0;
+};
+
+} // namespace currantwalk
+
+#endif // CURRANTWALK_CALLS_GENERATIONCALL_H
