--- a/src/log/logservice.h
+++ b/src/log/logservice.h
@@ -39,8 +39,9 @@
     std::function<void(const std::string &stream, std::vector<std::string> records,
                        AppendCallback callback)>
             append;
-    /// Reads up to \a limit records from \a from on. Fails with LogUnavailable, or with
-    /// LogRecordsExpired where \a from is older than the oldest kept.
+    /// Reads up to \a limit records from \a from on; an offset past the end gives an empty page.
+    /// Fails with LogUnavailable, or with LogRecordsExpired where \a from is older than the oldest
+    /// kept.
     std::function<void(const std::string &stream, LogOffset from, std::size_t limit,
                        ReadCallback callback)>
             read;
--- /dev/null
+++ b/src/log/streamreader.cpp
@@ -0,0 +1,166 @@
+#include "log/streamreader.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace currantwalk {
+
+// Past the end of any stream, and exact as a JSON number of any reader.
+static constexpr LogOffset PastAnyEnd = (LogOffset(1) << 53) - 1;
+
+std::unique_ptr<StreamReader> StreamReader::create(const Options &options, Hooks hooks,
+                                                   const LogHooks &log, TimerService &timers,
+                                                   RandomSource &random)
+{
+    return std::unique_ptr<StreamReader>(
+            new StreamReader(options, std::move(hooks), log, timers, random));
+}
+
+StreamReader::StreamReader(const Options &options, Hooks hooks, const LogHooks &log,
+                           TimerService &timers, RandomSource &random)
+    : m_options(options),
+      m_hooks(std::move(hooks)),
+      m_log(log),
+      m_timers(timers),
+      m_random(random),
+      m_next(options.from),
+      m_self(std::make_shared<StreamReader *>(this))
+{
+    assert(options.from > 0 && "offsets start at 1");
+    assert(options.pageSize > 0 && "a page holds at least one record");
+}
+
+StreamReader::~StreamReader()
+{
+    *m_self = nullptr;
+    m_timers.cancel(m_timer);
+}
+
+void StreamReader::start()
+{
+    schedule(Duration(0));
+}
+
+void StreamReader::poll()
+{
+    if (!m_isReading)
+        schedule(Duration(0));
+}
+
+void StreamReader::schedule(Duration delay)
+{
+    m_timers.cancel(m_timer);
+    m_timer = m_timers.subscribeAfter(delay, [this] {
+        m_timer = NoTimer;
+        if (m_isSeekingOldest)
+            read(PastAnyEnd, 1);
+        else
+            read(m_next, m_options.pageSize);
+    });
+}
+
+void StreamReader::read(LogOffset from, std::size_t limit)
+{
+    assert(!m_isReading && "one read at a time");
+    m_isReading = true;
+    m_askedAt = m_timers.now();
+    const std::uint64_t number = ++m_reads;
+    m_timer = m_timers.subscribeAfter(m_options.readTimeout, [this, number] {
+        onAnswer(number, makeError(ErrorCode::LogUnavailable, "no answer to a read in time"));
+    });
+    m_log.read(m_options.stream, from, limit,
+               [self = m_self, number](absl::StatusOr<LogPage> answer) {
+                   if (*self)
+                       (*self)->onAnswer(number, std::move(answer));
+               });
+}
+
+void StreamReader::onAnswer(std::uint64_t number, absl::StatusOr<LogPage> answer)
+{
+    if (!m_isReading || number != m_reads)
+        return;
+    m_isReading = false;
+    m_timers.cancel(m_timer);
+    m_timer = NoTimer;
+    if (answer.ok()) {
+        m_isSeekingOldest ? onOldest(*answer) : onPage(*answer);
+        return;
+    }
+    if (errorCode(answer.status()) == ErrorCode::LogRecordsExpired) {
+        m_isSeekingOldest = true;
+        schedule(Duration(0));
+        return;
+    }
+    onFailure(answer.status());
+}
+
+void StreamReader::onPage(const LogPage &page)
+{
+    // A stream is never cut at its end: an end below what was read means another log.
+    if (page.end < m_next) {
+        onFailure(makeError(ErrorCode::LogUnavailable, "the stream ends before what was read"));
+        return;
+    }
+    m_failures = 0;
+    const std::shared_ptr<StreamReader *> self = m_self;
+    const TimePoint askedAt = m_askedAt;
+    for (const LogRecord &record : page.records) {
+        if (record.offset != m_next) {
+            onFailure(makeError(ErrorCode::LogUnavailable, "the page has a gap"));
+            return;
+        }
+        ++m_next;
+        if (m_hooks.onRecord)
+            m_hooks.onRecord(record);
+        if (!*self)
+            return;
+    }
+    const bool isAtEnd = m_next >= page.end;
+    if (isAtEnd && m_hooks.onCaughtUp)
+        m_hooks.onCaughtUp(askedAt);
+    if (!*self)
+        return;
+    const Duration pause =
+            m_options.pollInterval * 9 / 10 + m_random.jitter(m_options.pollInterval / 5);
+    schedule(isAtEnd ? pause : Duration(0));
+}
+
+void StreamReader::onOldest(const LogPage &page)
+{
+    m_isSeekingOldest = false;
+    m_failures = 0;
+    if (page.oldest <= m_next) {
+        schedule(m_options.pollInterval);
+        return;
+    }
+    const StreamGap gap{m_next, page.oldest};
+    m_next = page.oldest;
+    const std::shared_ptr<StreamReader *> self = m_self;
+    if (m_hooks.onGap)
+        m_hooks.onGap(gap);
+    if (*self)
+        schedule(Duration(0));
+}
+
+void StreamReader::onFailure(const absl::Status &status)
+{
+    ++m_failures;
+    const std::shared_ptr<StreamReader *> self = m_self;
+    if (m_hooks.onFailure)
+        m_hooks.onFailure(status);
+    if (*self)
+        schedule(backoff());
+}
+
+// The jitter keeps the nodes from reading all at once when the log is back.
+Duration StreamReader::backoff()
+{
+    constexpr std::uint32_t MaxDoublings = 16;
+    const std::uint32_t doublings = std::min(m_failures - 1, MaxDoublings);
+    const Duration longest =
+            std::min(m_options.maxBackoff, m_options.pollInterval * (1U << doublings));
+    return longest / 2 + m_random.jitter(longest / 2);
+}
+
+} // namespace currantwalk
