--- /dev/null
+++ b/src/routing/basepolicy.cpp
@@ -0,0 +1,123 @@
+#include "routing/basepolicy.h"
+
+#include <algorithm>
+
+namespace currantwalk {
+
+static constexpr Duration HoldRecheck = std::chrono::milliseconds(200);
+
+RoutingDecision placeAt(const Target &target, std::string_view rule, std::size_t candidates,
+                        double score)
+{
+    RoutingDecision decision;
+    decision.verdict = RoutingVerdict::Place;
+    decision.target = target.id;
+    decision.reason.rule = rule;
+    decision.reason.candidates = static_cast<std::uint32_t>(candidates);
+    decision.reason.score = score;
+    return decision;
+}
+
+RoutingDecision holdUntil(TimePoint askAgainAt, std::string_view rule, std::size_t candidates)
+{
+    RoutingDecision decision;
+    decision.verdict = RoutingVerdict::Hold;
+    decision.askAgainAt = askAgainAt;
+    decision.reason.rule = rule;
+    decision.reason.candidates = static_cast<std::uint32_t>(candidates);
+    return decision;
+}
+
+RoutingDecision BasePolicy::decide(const RoutingRequest &request, const Candidates &candidates,
+                                   TimePoint now)
+{
+    m_allowed.clear();
+    for (const Target *target : candidates) {
+        if (isAllowed(request, *target))
+            m_allowed.push_back(target);
+    }
+    if (m_allowed.empty())
+        return holdUntil(now + HoldRecheck, "no-target", 0);
+    if (request.isSuspect)
+        return chooseIdle(m_allowed, now);
+    if (m_allowed.front()->kind == TargetKind::Plain)
+        return choosePlain(m_allowed);
+    return choose(request, m_allowed, now);
+}
+
+bool BasePolicy::isAllowed(const RoutingRequest &request, const Target &target) const
+{
+    if (std::find(request.excluded.begin(), request.excluded.end(), target.id)
+        != request.excluded.end())
+        return false;
+    const auto it = m_loads.find(target.id);
+    return it == m_loads.end() || it->second.suspects == 0;
+}
+
+// A suspect may crash its target, so it goes only where nothing else is known to run.
+RoutingDecision BasePolicy::chooseIdle(const Candidates &allowed, TimePoint now) const
+{
+    for (const Target *target : allowed) {
+        const bool isIdle = target->load.running + target->load.waiting == 0;
+        if (isIdle && outstanding(target->id) == 0)
+            return placeAt(*target, "suspect-alone", allowed.size(), 0);
+    }
+    return holdUntil(now + HoldRecheck, "suspect-no-idle-target", allowed.size());
+}
+
+RoutingDecision BasePolicy::choosePlain(const Candidates &allowed)
+{
+    const Target *first = allowed[m_random.below(allowed.size())];
+    const Target *second = allowed[m_random.below(allowed.size())];
+    const std::uint32_t firstCalls = outstanding(first->id);
+    const std::uint32_t secondCalls = outstanding(second->id);
+    const Target &chosen = secondCalls < firstCalls ? *second : *first;
+    return placeAt(chosen, "plain-two-choices", allowed.size(), std::min(firstCalls, secondCalls));
+}
+
+std::uint32_t BasePolicy::outstanding(const TargetId &target) const
+{
+    const auto it = m_loads.find(target);
+    return it == m_loads.end() ? 0 : it->second.calls;
+}
+
+void BasePolicy::onPlaced(const RoutingRequest &request, const TargetId &target, TimePoint)
+{
+    const auto [it, isNew] = m_calls.try_emplace(request.id, OwnCall{target, request.isSuspect});
+    if (!isNew)
+        return;
+    OwnLoad &load = m_loads[target];
+    ++load.calls;
+    load.suspects += request.isSuspect ? 1 : 0;
+}
+
+void BasePolicy::onToken(const RequestId &, std::uint32_t, TimePoint) {}
+
+void BasePolicy::onReleased(const RequestId &request, bool, std::uint32_t, TimePoint)
+{
+    const auto it = m_calls.find(request);
+    if (it == m_calls.end())
+        return;
+    const auto load = m_loads.find(it->second.target);
+    if (load != m_loads.end()) {
+        --load->second.calls;
+        load->second.suspects -= it->second.isSuspect ? 1 : 0;
+        if (load->second.calls == 0)
+            m_loads.erase(load);
+    }
+    m_calls.erase(it);
+}
+
+void BasePolicy::onLoad(const Target &, TimePoint) {}
+
+void BasePolicy::onCacheEvent(const TargetId &, std::uint64_t, bool) {}
+
+void BasePolicy::onTargetGone(const TargetId &target)
+{
+    m_loads.erase(target);
+    std::erase_if(m_calls, [&target](const auto &call) { return call.second.target == target; });
+}
+
+void BasePolicy::onNodeCount(std::uint32_t) {}
+
+} // namespace currantwalk
