--- a/src/calls/generationcall.h
+++ b/src/calls/generationcall.h
@@ -6,6 +6,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "base/error.h"
 #include "base/ids.h"
@@ -49,7 +51,7 @@
 struct ResumePoint
 {
     GenerationId generation;
-    std::uint32_t nextPosition = 0; ///< Of the first token that the caller lacks.
+    std::uint32_t nextPosition = 0; ///< Of the first token that the caller lacks, counted from 0.
 };
 
 /// A try to run the request at one target. Attempt ids are unique in the fleet; an engine that gets
@@ -64,8 +66,26 @@
 /// How a generation ended at its engine.
 enum class FinishReason { Stop, Length };
 
-/// What the call asks of its surroundings. All are required. None may call back into the call from
-/// within itself; answers come as later calls of on…() with the exchange number given here.
+/// Where a request for a generation stands.
+enum class GenerationState {
+    New,
+    Queued,     ///< Waits for a target.
+    Sent,       ///< Sent to a target that has not named the generation yet.
+    Streaming,  ///< Reads a generation.
+    Recovering, ///< The exchange failed; waits to open or read again at the same target.
+    Detached,   ///< The caller is gone; the generation runs on until the resume window closes.
+    Settled,
+};
+
+/// Returns "new", "queued", "sent", "streaming", "recovering", "detached" or "settled".
+std::string_view generationStateName(GenerationState state);
+
+/// How long a generation outlives its caller's connection.
+constexpr Duration ResumeWindow = std::chrono::seconds(30);
+
+/// What the call asks of its surroundings. All are required unless said. None may call back into
+/// the call from within itself; answers come as later calls of on…() with the exchange number given
+/// here.
 struct GenerationHooks
 {
     /// Asks for a target; onPlaced() or onPlacementFailed() answers. A second one supersedes.
@@ -75,7 +95,8 @@
     /// Reads a running generation from \a from on.
     std::function<void(std::uint64_t exchange, const GenerationId &generation, std::uint32_t from)>
             resume;
-    /// Drops the exchange: closes its connection, ignores its answer.
+    /// Drops the exchange: closes its connection, ignores its answer; takes back a placement that
+    /// is still waiting.
     std::function<void(std::uint64_t exchange)> abandon;
     /// Has the engine stop the generation (by attempt where no id is known yet) and confirm it.
     std::function<void(const GenerationAttempt &attempt,
@@ -95,6 +116,10 @@
     std::function<void(const TargetId &target)> targetLost;
     /// Whether the service's retry budget allows one more attempt; spends it if so.
     std::function<bool()> takeRetry;
+    /// Asks all other nodes whether one of them reads the generation now; onReadElsewhere()
+    /// answers once all that may have taken it over have spoken. May be left empty where no other
+    /// node can take it over.
+    std::function<void(const GenerationId &generation)> askReaders;
 };
 
 /// The life of one request for a generation: every token once, in order, from one generation.
@@ -128,10 +153,16 @@
 
     /// The caller's connection closed. The generation is cancelled after the resume window.
     virtual void onCallerGone() = 0;
+    /// Another node, or another connection of this one, goes on with the generation for the
+    /// caller: it is left running and this call ends.
+    virtual void onTakenOver() = 0;
+    /// Answers askReaders(): true where a node reads the generation or may do so unknown to us.
+    virtual void onReadElsewhere(bool isRead) = 0;
     /// The caller's connection cannot take more; tokens are then kept, and bounded.
     virtual void onCallerBlocked(bool isBlocked) = 0;
 
     virtual bool isSettled() const = 0;
+    virtual GenerationState state() const = 0;
     virtual const GenerationRequest &request() const = 0;
     virtual std::uint64_t droppedAnswers() const = 0;
 };
--- a/src/calls/plaincall.h
+++ b/src/calls/plaincall.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/error.h"
@@ -54,10 +55,25 @@
 struct ClaimAnswer
 {
     ClaimVerdict verdict = ClaimVerdict::Unknown;
-    std::optional<PlainResponse> result; ///< With Done.
-    absl::Status status;                 ///< With NotClaimed and Conflict.
+    /// With Done; nothing where the result was too large to keep.
+    std::optional<PlainResponse> result;
+    absl::Status status; ///< With Unknown, Conflict and NotClaimed.
 };
 
+/// Where a request to a plain service stands.
+enum class PlainState {
+    New,
+    Claiming,  ///< Waits for its claim of the key.
+    Queued,    ///< Waits for a target.
+    Sent,      ///< Waits for the target's answer.
+    Waiting,   ///< Backs off before the next step.
+    LookingUp, ///< Asks the target what became of the request.
+    Settled,
+};
+
+/// Returns "new", "claiming", "queued", "sent", "waiting", "looking-up" or "settled".
+std::string_view plainStateName(PlainState state);
+
 /// What the call asks of its surroundings. All are required; none calls back from within itself.
 struct PlainHooks
 {
@@ -66,7 +82,7 @@
     /// Sends the request to the target.
     std::function<void(std::uint64_t exchange, const TargetId &target)> send;
     std::function<void(std::uint64_t exchange)> abandon;
-    /// Claims the key (or, where the caller sent none, the request's own id); onClaim() answers.
+    /// Claims the caller's key; onClaim() answers. Without a key nobody else can send the request.
     std::function<void()> claim;
     /// Records the result of a claim that was won, for others that claim the same key.
     std::function<void(const PlainResponse &response)> recordResult;
@@ -104,6 +120,7 @@
     virtual void onCallerGone() = 0;
 
     virtual bool isSettled() const = 0;
+    virtual PlainState state() const = 0;
     virtual const PlainRequest &request() const = 0;
     virtual std::uint64_t droppedAnswers() const = 0;
 };
--- a/src/calls/resumetoken.h
+++ b/src/calls/resumetoken.h
@@ -17,6 +17,8 @@
     std::string service;
     std::string model;
     ResumePoint point;
+    /// That wrote the token; it is told when another node goes on with the generation.
+    VmId vm;
 };
 
 /// Writes \a token as URL-safe text with a keyed hash of it.
