--- /dev/null
+++ b/src/observe/logging.h
@@ -0,0 +1,48 @@
+#ifndef CURRANTWALK_OBSERVE_LOGGING_H
+#define CURRANTWALK_OBSERVE_LOGGING_H
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace currantwalk {
+
+enum class LogLevel { Debug, Info, Warning, Error };
+enum class LogFormat { Text, Json };
+
+/// The parts of the daemon; each line begins with the name of one.
+enum class LogPart {
+    Daemon,
+    Callers,
+    Calls,
+    Claims,
+    Config,
+    Drain,
+    Lease,
+    Limits,
+    Log,
+    Membership,
+    Operators,
+    Peers,
+    Placement,
+    Poison,
+    Routing,
+    Targets
+};
+
+std::string_view logLevelName(LogLevel level);
+std::optional<LogLevel> logLevelFromName(std::string_view name);
+std::optional<LogFormat> logFormatFromName(std::string_view name);
+std::string_view logPartName(LogPart part);
+
+/// Sets format and least level, for standard error. Lines before it are dropped.
+void initLogging(LogFormat format, LogLevel level);
+
+/// Writes one line.
+void logLine(LogPart part, LogLevel level, std::string_view message);
+/// Writes one line about the request \a requestId.
+void logRequest(LogPart part, LogLevel level, std::string_view requestId, std::string_view message);
+
+} // namespace currantwalk
+
+#endif // CURRANTWALK_OBSERVE_LOGGING_H
