--- /dev/null
+++ b/src/targets/outlierdetector.cpp
@@ -0,0 +1,65 @@
+#include "targets/outlierdetector.h"
+
+#include <algorithm>
+
+namespace currantwalk {
+
+// Outcomes of requests sent before the ejection come in during it; they say nothing new.
+void OutlierDetector::onOutcome(const TargetId &target, bool isSuccess, TimePoint now)
+{
+    const auto known = m_histories.find(target);
+    if (known == m_histories.end() && isSuccess)
+        return;
+    History &history = m_histories[target];
+    if (now < history.ejectedUntil)
+        return;
+    if (now - history.windowStart >= m_options.window) {
+        history.windowStart = now;
+        history.failures = 0;
+        history.outcomes = 0;
+    }
+    ++history.outcomes;
+    if (isSuccess) {
+        history.failuresInARow = 0;
+        if (++history.successesInARow >= m_options.successesToClear && history.failures == 0)
+            m_histories.erase(target);
+        return;
+    }
+    history.successesInARow = 0;
+    ++history.failures;
+    ++history.failuresInARow;
+    if (isOutlier(history))
+        eject(history, now);
+}
+
+bool OutlierDetector::isEjected(const TargetId &target, TimePoint now) const
+{
+    const auto it = m_histories.find(target);
+    return it != m_histories.end() && now < it->second.ejectedUntil;
+}
+
+bool OutlierDetector::isOutlier(const History &history) const
+{
+    const std::uint32_t inARow =
+            history.ejections > 0 ? m_options.failuresInARowOnProbation : m_options.failuresInARow;
+    if (history.failuresInARow >= inARow)
+        return true;
+    return history.outcomes >= m_options.leastOutcomes
+           && history.failures >= m_options.failureShare * history.outcomes;
+}
+
+void OutlierDetector::eject(History &history, TimePoint now) const
+{
+    constexpr std::uint32_t MaxDoublings = 16;
+    const std::uint32_t doublings = std::min(history.ejections, MaxDoublings);
+    const Duration span =
+            std::min(m_options.baseEjection * (1U << doublings), m_options.maxEjection);
+    ++history.ejections;
+    history.ejectedUntil = now + span;
+    history.windowStart = history.ejectedUntil;
+    history.failures = 0;
+    history.outcomes = 0;
+    history.failuresInARow = 0;
+}
+
+} // namespace currantwalk
--- a/src/targets/targettable.h
+++ b/src/targets/targettable.h
@@ -12,6 +12,7 @@
 
 #include "base/error.h"
 #include "base/timerservice.h"
+#include "targets/outlierdetector.h"
 #include "targets/target.h"
 
 namespace currantwalk {
@@ -48,13 +49,22 @@
         Duration probeInterval = std::chrono::seconds(1);
         Duration probeTimeout = std::chrono::milliseconds(700);
         std::uint32_t probeFailuresToDie = 3;
+        /// Between two digest rows of one target, whichever node sends them.
+        Duration shareInterval = std::chrono::seconds(1);
+        /// A report older than this makes a node that is no watcher ask for itself.
+        Duration staleAfter = std::chrono::seconds(5);
+        /// Between probes of the watched targets of other zones.
+        Duration foreignInterval = std::chrono::seconds(10);
+        std::size_t foreignTargets = 64; ///< Of other zones, that this zone watches.
+        OutlierDetector::Options outliers;
     };
 
     struct Hooks
     {
         /// Asks a target for a report; onReport() or onProbeFailed() answers.
         std::function<void(const Target &target)> probe;
-        /// Whether this node watches the target; see rendezvousMembers().
+        /// Whether this node is one of the nodes of its own zone that watch the target, which may
+        /// be of another zone; see rendezvousMembers().
         std::function<bool(const TargetId &target)> isWatcher;
         /// A target changed its state, incarnation or models.
         std::function<void(const Target &target)> onChange;
@@ -72,7 +82,8 @@
     virtual ~TargetTable() = default;
 
     virtual void start() = 0;
-    /// Takes the platform's list, which lags.
+    /// Takes the platform's list, which lags. An empty list is taken for a fault of the platform
+    /// and ignored.
     virtual void onList(const std::vector<ListedTarget> &list) = 0;
     virtual void onReport(const TargetReport &report) = 0;
     virtual void onProbeFailed(const TargetId &target) = 0;
@@ -81,12 +92,12 @@
     /// The data path saw the target refuse connections, die, or say that it leaves.
     virtual void onSuspectedDead(const TargetId &target) = 0;
     virtual void onLeaving(const TargetId &target, Incarnation incarnation) = 0;
-    /// The outcome of a request, for outlier ejection.
+    /// The outcome of a request, for outlier ejection. A refusal for want of room is no failure.
     virtual void onOutcome(const TargetId &target, bool isSuccess) = 0;
 
     virtual const Target *find(const TargetId &target) const = 0;
-    /// Returns live targets of a pool, of this zone first; ejected ones are left out unless that
-    /// would leave none of the zone.
+    /// Returns live targets of a pool, of this zone first; engines only where a report of theirs is
+    /// known. Ejected ones are left out unless that would leave none of their zone.
     virtual std::vector<const Target *> candidates(std::string_view pool) const = 0;
     virtual std::vector<const Target *> all() const = 0;
 };
