Event loop, HTTP server and client on one thread

Change: the loop runs subscribers from a timeout list of the library, so that writes they start are completed in the same round. The server notices a caller who leaves while its request is handled, refuses to end an answer whose length differs from the declared one, and releases all connections at destruction.

--- a/src/net/eventloop.h
+++ b/src/net/eventloop.h
@@ -19,7 +19,7 @@
     {
         std::optional<TlsFiles> clientTls;
         std::size_t maxIdleConnectionsPerEndpoint = 64;
-        std::size_t maxHeadBytes = 64 * 1024; ///< Of an answer's head.
+        std::size_t maxHeadBytes = std::size_t{64} * 1024; ///< Of an answer's head.
     };
 
     static absl::StatusOr<std::unique_ptr<EventLoop>> create(const Options &options);
--- /dev/null
+++ b/src/net/h2oexchange.h
@@ -0,0 +1,119 @@
+#ifndef CURRANTWALK_NET_H2OEXCHANGE_H
+#define CURRANTWALK_NET_H2OEXCHANGE_H
+
+#include "net/h2oapi.h"
+#include "net/http.h"
+
+namespace currantwalk {
+
+class H2oExchange;
+
+/// The library's side of one exchange: lives as long as the library's request does and owns the
+/// bytes that the library is sending.
+class ResponseStream
+{
+public:
+    /// Takes charge of \a request and returns the exchange to hand to the listener's handler.
+    static std::shared_ptr<H2oExchange> attach(h2o_req_t *request, TimerService &timers);
+
+    ResponseStream(h2o_req_t *request, TimerService &timers);
+    ~ResponseStream();
+    ResponseStream(const ResponseStream &) = delete;
+    ResponseStream &operator=(const ResponseStream &) = delete;
+
+    void start(HttpResponseHead head);
+    void write(std::string data);
+    void finish();
+    void abort();
+    /// Looks whether the peer has closed the connection; called when its socket is readable.
+    void checkPeer();
+
+    void setExchange(H2oExchange *exchange) { m_exchange = exchange; }
+    bool isEnding() const { return m_state != State::Open; }
+    std::size_t pendingBytes() const { return m_queuedBytes + m_inFlightBytes; }
+
+private:
+    enum class State {
+        Open,      ///< start() and write() are accepted.
+        Finishing, ///< finish() was called; queued bytes go first.
+        Aborting,  ///< The connection is being closed.
+        Sent,      ///< The last bytes were handed to the library.
+    };
+
+    struct Generator : h2o_generator_t
+    {
+        ResponseStream *stream;
+    };
+
+    static void onProceed(h2o_generator_t *generator, h2o_req_t *request);
+    static void onStop(h2o_generator_t *generator, h2o_req_t *request);
+
+    void addHeader(const HttpHeader &header);
+    bool acceptsBody(std::size_t bytes) const;
+    void proceed();
+    void flush();
+    void endInLibrary();
+    void watchPeer();
+    void unwatchPeer();
+    h2o_socket_t *socket() const;
+
+    h2o_req_t *m_request;
+    TimerService &m_timers;
+    H2oExchange *m_exchange = nullptr;
+    Generator m_generator{};
+    std::vector<std::string> m_queued;
+    std::vector<std::string> m_inFlight;
+    std::size_t m_queuedBytes = 0;
+    std::size_t m_inFlightBytes = 0;
+    std::size_t m_writtenBytes = 0;
+    TimerId m_peerTimer = NoTimer;
+    State m_state = State::Open;
+    bool m_isStarted = false;
+    bool m_isSending = false;
+    bool m_isHeadOnly = false;
+    bool m_isWatching = false;
+};
+
+/// The exchange as its handler sees it; outlives the library's request where the handler holds it.
+class H2oExchange final : public HttpExchange
+{
+public:
+    H2oExchange(HttpRequest request, std::string remoteAddress, ResponseStream *stream);
+    ~H2oExchange() override;
+
+    const HttpRequest &request() const override { return m_request; }
+    std::string remoteAddress() const override { return m_remoteAddress; }
+    void start(HttpResponseHead head) override;
+    void write(std::string data) override;
+    void finish() override;
+    void abort() override;
+    std::size_t pendingBytes() const override;
+    void onDrained(std::function<void()> callback) override { m_onDrained = std::move(callback); }
+    void onClosed(std::function<void()> callback) override { m_onClosed = std::move(callback); }
+    bool isClosed() const override { return m_isClosed; }
+
+    void drained();
+    /// The peer has gone: tells the handler once.
+    void closed();
+    /// The library's request has ended; \a isWhole tells whether the answer was handed over whole.
+    void streamGone(bool isWhole);
+
+private:
+    HttpRequest m_request;
+    std::string m_remoteAddress;
+    ResponseStream *m_stream;
+    std::function<void()> m_onDrained;
+    std::function<void()> m_onClosed;
+    bool m_isClosed = false;
+    bool m_isFinished = false;
+};
+
+/// What the server keeps for one open connection; found through the library's socket.
+struct ServerConnection
+{
+    ResponseStream *stream = nullptr;
+};
+
+} // namespace currantwalk
+
+#endif // CURRANTWALK_NET_H2OEXCHANGE_H
--- /dev/null
+++ b/src/net/h2oserver.h
@@ -0,0 +1,83 @@
+#ifndef CURRANTWALK_NET_H2OSERVER_H
+#define CURRANTWALK_NET_H2OSERVER_H
+
+#include <unordered_set>
+
+#include "net/h2oexchange.h"
+#include "net/socketaddress.h"
+#include "net/tlscontext.h"
+
+namespace currantwalk {
+
+/// One listening socket with the library's context, whose limits are its own.
+class H2oListener
+{
+public:
+    static absl::StatusOr<std::unique_ptr<H2oListener>> create(h2o_loop_t *loop,
+                                                               TimerService &timers,
+                                                               const HttpListenerOptions &options,
+                                                               HttpHandler handler);
+    ~H2oListener();
+    H2oListener(const H2oListener &) = delete;
+    H2oListener &operator=(const H2oListener &) = delete;
+
+    const Endpoint &endpoint() const { return m_endpoint; }
+    std::size_t connections() const { return m_connections.size(); }
+    void stopListening();
+    /// Makes every open connection fail; the loop's next rounds then release them.
+    void disconnectAll();
+
+private:
+    struct Handler : h2o_handler_t
+    {
+        H2oListener *listener;
+    };
+    struct Connection : ServerConnection
+    {
+        H2oListener *listener = nullptr;
+        h2o_socket_t *socket = nullptr;
+    };
+
+    H2oListener(h2o_loop_t *loop, TimerService &timers, const HttpListenerOptions &options,
+                HttpHandler handler);
+    absl::Status open(const HttpListenerOptions &options);
+    void configure(const HttpListenerOptions &options);
+    static void onAcceptable(h2o_socket_t *socket, const char *error);
+    static void onConnectionClosed(void *connection);
+    static int onRequest(h2o_handler_t *handler, h2o_req_t *request);
+    bool acceptOne();
+
+    h2o_loop_t *m_loop;
+    TimerService &m_timers;
+    HttpHandler m_handler;
+    std::size_t m_maxConnections;
+    Endpoint m_endpoint;
+    std::unique_ptr<TlsContext> m_tls;
+    h2o_globalconf_t m_config{};
+    h2o_context_t m_context{};
+    h2o_accept_ctx_t m_accept{};
+    h2o_socket_t *m_socket = nullptr;
+    std::unordered_set<Connection *> m_connections;
+};
+
+/// The server of a loop: a set of listeners.
+class H2oServer final : public HttpServer
+{
+public:
+    H2oServer(h2o_loop_t *loop, TimerService &timers) : m_loop(loop), m_timers(timers) {}
+
+    absl::StatusOr<Endpoint> listen(const HttpListenerOptions &options,
+                                    HttpHandler handler) override;
+    void stopListening() override;
+    std::size_t connections() const override;
+    void disconnectAll();
+
+private:
+    h2o_loop_t *m_loop;
+    TimerService &m_timers;
+    std::vector<std::unique_ptr<H2oListener>> m_listeners;
+};
+
+} // namespace currantwalk
+
+#endif // CURRANTWALK_NET_H2OSERVER_H
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -87,7 +87,7 @@
 {
     Endpoint endpoint; ///< Port 0 asks the system for a free port.
     std::optional<TlsFiles> tls;
-    std::size_t maxBodyBytes = 4 * 1024 * 1024;
+    std::size_t maxBodyBytes = std::size_t{4} * 1024 * 1024;
     std::size_t maxConnections = 4096;
     Duration requestTimeout = std::chrono::seconds(10); ///< For a request to arrive whole.
 };
--- /dev/null
+++ b/src/net/looptimerservice.cpp
@@ -0,0 +1,68 @@
+#include "net/looptimerservice.h"
+
+#include <algorithm>
+
+namespace currantwalk {
+
+// The library's timeout lists have one duration each. The list used here has a duration of zero:
+// its entry is linked when something is due, so that subscribers run within the loop's round, where
+// the library completes the writes that they start.
+LoopTimerService::LoopTimerService(h2o_loop_t *loop) : m_loop(loop)
+{
+    h2o_timeout_init(m_loop, &m_timeout, 0);
+    m_entry.cb = &LoopTimerService::onTimeout;
+    m_entry.service = this;
+}
+
+LoopTimerService::~LoopTimerService()
+{
+    h2o_timeout_unlink(&m_entry);
+    h2o_timeout_dispose(m_loop, &m_timeout);
+}
+
+TimePoint LoopTimerService::now() const
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+TimerId LoopTimerService::subscribeAt(TimePoint when, Callback callback)
+{
+    return m_queue.insert(when, std::move(callback));
+}
+
+void LoopTimerService::cancel(TimerId id)
+{
+    m_queue.remove(id);
+}
+
+Duration LoopTimerService::waitBudget(Duration limit) const
+{
+    const std::optional<TimePoint> earliest = m_queue.earliest();
+    if (!earliest)
+        return limit;
+    return std::clamp(*earliest - now(), Duration::zero(), limit);
+}
+
+void LoopTimerService::requestRound()
+{
+    if (!h2o_timeout_is_linked(&m_entry))
+        h2o_timeout_link(m_loop, &m_timeout, &m_entry);
+}
+
+void LoopTimerService::onTimeout(h2o_timeout_entry_t *entry)
+{
+    static_cast<Entry *>(entry)->service->runDue();
+}
+
+// The time is read once, so that a callback which subscribes again without delay can't keep the
+// sockets from being served.
+void LoopTimerService::runDue()
+{
+    const TimePoint start = now();
+    while (m_queue.earliest() && *m_queue.earliest() <= start) {
+        const Callback callback = m_queue.take();
+        callback();
+    }
+}
+
+} // namespace currantwalk
