--- /dev/null
+++ b/src/routing/tests/dispatchertest.cpp
@@ -0,0 +1,128 @@
+#include <string>
+#include <vector>
+
+#include "base/virtualtimerservice.h"
+#include "routing/dispatcher.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Places where there is room, else holds.
+struct SlotPolicy : RoutingPolicy
+{
+    RoutingDecision decide(const RoutingRequest &, const std::vector<const Target *> &candidates,
+                           TimePoint) override
+    {
+        RoutingDecision decision;
+        decision.verdict = isShedding  ? RoutingVerdict::Shed
+                           : slots > 0 ? RoutingVerdict::Place
+                                       : RoutingVerdict::Hold;
+        decision.target = candidates.front()->id;
+        return decision;
+    }
+    void onPlaced(const RoutingRequest &, const TargetId &, TimePoint) override { --slots; }
+    void onToken(const RequestId &, std::uint32_t, TimePoint) override {}
+    void onReleased(const RequestId &, bool, std::uint32_t, TimePoint) override {}
+    void onLoad(const Target &, TimePoint) override {}
+    void onCacheEvent(const TargetId &, std::uint64_t, bool) override {}
+    void onTargetGone(const TargetId &) override {}
+    void onNodeCount(std::uint32_t) override {}
+
+    int slots = 0;
+    bool isShedding = false;
+};
+
+} // namespace
+
+TEST_GROUP(Dispatcher)
+{
+    VirtualTimerService timers;
+    SlotPolicy policy;
+    Target target;
+    bool isTargetThere = true;
+    Dispatcher dispatcher{policy,
+                          [this](const RoutingRequest &) {
+                              return isTargetThere ? std::vector<const Target *>{&target}
+                                                   : std::vector<const Target *>{};
+                          },
+                          timers};
+    std::vector<std::string> order;
+    std::vector<Placement> placements;
+
+    void setup() override
+    {
+        target.id = TargetId("e1");
+    }
+
+    TicketId submit(const std::string &name, std::uint32_t rank)
+    {
+        RoutingRequest request;
+        request.id = RequestId(name);
+        request.priorityRank = rank;
+        request.arrivedAt = timers.now();
+        request.holdUntil = timers.now() + 10s;
+        return dispatcher.submit(std::move(request), [this, name](const Placement &placement) {
+            order.push_back(name);
+            placements.push_back(placement);
+        });
+    }
+};
+
+TEST(Dispatcher, servesByPriorityThenArrival)
+{
+    submit("late-low", 2);
+    submit("low", 2);
+    submit("high", 0);
+    timers.advance(100ms);
+    CHECK(order.empty());
+    policy.slots = 2;
+    dispatcher.onChange();
+    timers.advance(100ms);
+    CHECK((order == std::vector<std::string>{"high", "late-low"}));
+    CHECK_EQUAL(1U, dispatcher.waiting());
+}
+
+TEST(Dispatcher, givesUpWhenTheHoldIsOver)
+{
+    submit("a", 0);
+    timers.advance(11s);
+    CHECK_EQUAL(1U, placements.size());
+    CHECK(errorCode(placements[0].status) == ErrorCode::Overloaded);
+    CHECK(placements[0].retryAfter > 0s);
+}
+
+TEST(Dispatcher, shedsAtOnce)
+{
+    policy.isShedding = true;
+    submit("a", 0);
+    timers.advance(0s);
+    CHECK_EQUAL(1U, placements.size());
+    CHECK(errorCode(placements[0].status) == ErrorCode::Overloaded);
+}
+
+TEST(Dispatcher, waitsForATargetToAppear)
+{
+    isTargetThere = false;
+    policy.slots = 1;
+    submit("a", 0);
+    timers.advance(3s);
+    CHECK(placements.empty());
+    isTargetThere = true;
+    dispatcher.onChange();
+    timers.advance(1s);
+    CHECK_EQUAL(1U, placements.size());
+    CHECK(placements[0].status.ok());
+}
+
+TEST(Dispatcher, cancelledTicketIsForgotten)
+{
+    dispatcher.cancel(submit("a", 0));
+    policy.slots = 1;
+    timers.advance(20s);
+    CHECK(placements.empty());
+    CHECK_EQUAL(0U, dispatcher.waiting());
+}
