--- /dev/null
+++ b/src/config/tomldocument.cpp
@@ -0,0 +1,138 @@
+#include "config/tomldocument.h"
+
+#include <algorithm>
+
+// The library asserts on some malformed texts that it otherwise reports as errors.
+#define TOML_ASSERT(expression) static_cast<void>(0)
+#define TOML_EXCEPTIONS 0
+#include <toml++/toml.h>
+
+#include "base/json.h"
+
+namespace currantwalk {
+
+namespace {
+
+/// Finds characters outside of strings and comments that are not ASCII.
+class BareTextScanner
+{
+public:
+    explicit BareTextScanner(std::string_view text) : m_rest(text) {}
+
+    /// Returns the line of the first such character, or nothing.
+    std::optional<std::uint32_t> firstNonAsciiLine()
+    {
+        while (!m_rest.empty()) {
+            const char c = m_rest.front();
+            if (static_cast<unsigned char>(c) >= 0x80)
+                return m_line;
+            if (c == '#')
+                skipComment();
+            else if (c == '"' || c == '\'')
+                skipString(c);
+            else
+                take(1);
+        }
+        return std::nullopt;
+    }
+
+private:
+    void take(std::size_t count)
+    {
+        const std::string_view taken = m_rest.substr(0, count);
+        m_line += static_cast<std::uint32_t>(std::count(taken.begin(), taken.end(), '\n'));
+        m_rest.remove_prefix(taken.size());
+    }
+
+    void skipComment() { take(std::min(m_rest.find('\n'), m_rest.size())); }
+
+    void skipString(char quote)
+    {
+        const std::string triple(3, quote);
+        const bool isMultiLine = m_rest.substr(0, 3) == triple;
+        const std::string close = isMultiLine ? triple : std::string(1, quote);
+        take(close.size());
+        while (!m_rest.empty() && m_rest.substr(0, close.size()) != close) {
+            // A string of one line that is not closed ends with it; the parser reports that.
+            if (!isMultiLine && m_rest.front() == '\n')
+                return;
+            const bool isEscape = quote == '"' && m_rest.front() == '\\';
+            take(isEscape ? 2 : 1);
+        }
+        take(close.size());
+    }
+
+    std::string_view m_rest;
+    std::uint32_t m_line = 1;
+};
+
+/// Turns the library's tree into JSON values and notes the lines.
+class TreeConverter
+{
+public:
+    explicit TreeConverter(TomlDocument *document) : m_document(document) {}
+
+    Json::Value table(const toml::table &table, const std::string &path)
+    {
+        Json::Value result(Json::objectValue);
+        for (const auto &[key, node] : table) {
+            const std::string name(key.str());
+            const std::string memberPath = path.empty() ? name : path + "/" + name;
+            m_document->lines.emplace(memberPath, key.source().begin.line);
+            result[name] = value(node, memberPath);
+        }
+        return result;
+    }
+
+private:
+    Json::Value array(const toml::array &array, const std::string &path)
+    {
+        Json::Value result(Json::arrayValue);
+        for (const toml::node &node : array) {
+            const std::string elementPath = path + "[" + std::to_string(result.size()) + "]";
+            m_document->lines.emplace(elementPath, node.source().begin.line);
+            result.append(value(node, elementPath));
+        }
+        return result;
+    }
+
+    Json::Value value(const toml::node &node, const std::string &path)
+    {
+        if (const toml::table *child = node.as_table())
+            return table(*child, path);
+        if (const toml::array *child = node.as_array())
+            return array(*child, path);
+        if (const toml::value<std::string> *text = node.as_string())
+            return text->get();
+        if (const toml::value<std::int64_t> *integer = node.as_integer())
+            return Json::Value(Json::Int64(integer->get()));
+        if (const toml::value<double> *number = node.as_floating_point())
+            return number->get();
+        if (const toml::value<bool> *flag = node.as_boolean())
+            return flag->get();
+        return Json::Value();
+    }
+
+    TomlDocument *m_document;
+};
+
+} // namespace
+
+std::optional<TomlFault> parseToml(std::string_view text, TomlDocument *document)
+{
+    if (!isValidUtf8(text))
+        return TomlFault{1, "the text is not UTF-8"};
+    // The library goes wrong on such characters in bare keys, which TOML does not allow anyway.
+    const std::optional<std::uint32_t> line = BareTextScanner(text).firstNonAsciiLine();
+    if (line)
+        return TomlFault{*line, "a character that is not ASCII outside of strings and comments"};
+    const toml::parse_result result = toml::parse(text);
+    if (!result) {
+        const toml::parse_error &error = result.error();
+        return TomlFault{error.source().begin.line, std::string(error.description())};
+    }
+    document->root = TreeConverter(document).table(result.table(), {});
+    return std::nullopt;
+}
+
+} // namespace currantwalk
