--- a/src/calls/generationmachine.cpp
+++ b/src/calls/generationmachine.cpp
@@ -197,8 +197,11 @@
     setTimer(retryDelay(m_attempt.number, m_random), &GenerationMachine::place);
 }
 
+// After a pause of the process the answer to a placement may be read before the deadline's timer.
 void GenerationMachine::open()
 {
+    if (m_timers.now() >= m_request.deadline)
+        return onDeadline();
     enter(GenerationState::Sent);
     m_hooks.open(beginExchange(), m_attempt);
     watchForStall();
@@ -355,7 +358,6 @@
 // An answer that is whole here goes out even so; the deadline is for what is still to come.
 void GenerationMachine::onDeadline()
 {
-    m_deadlineTimer = NoTimer;
     if (m_finish) {
         flush();
         settle();
--- /dev/null
+++ b/src/calls/logclaims.cpp
@@ -0,0 +1,461 @@
+#include "calls/logclaims.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <cstdio>
+#include <utility>
+#include <vector>
+
+#include "calls/invariant.h"
+#include "calls/retrybudget.h"
+
+namespace currantwalk {
+
+// The answer reaches the request while it can still be told to the caller.
+static constexpr Duration AnswerMargin = std::chrono::milliseconds(10);
+
+// Claims wait while the log is out, so its return is to be noticed soon.
+static constexpr Duration MaxReadBackoff = std::chrono::seconds(1);
+
+// Two seeds make 128 bits, so that two keys do not meet by chance. Lengths keep the parts apart.
+static std::string hashKey(const ClaimRequest &request)
+{
+    const std::string text = std::to_string(request.organisation.size()) + ":"
+                             + request.organisation + std::to_string(request.service.size()) + ":"
+                             + request.service + request.key;
+    std::array<char, 33> hash{};
+    std::snprintf(hash.data(), hash.size(), "%016llx%016llx",
+                  static_cast<unsigned long long>(stableHash(text, 0)),
+                  static_cast<unsigned long long>(stableHash(text, 1)));
+    return hash.data();
+}
+
+static std::uint32_t shardOf(const std::string &key, std::uint32_t shards)
+{
+    return static_cast<std::uint32_t>(stableHash(key) % shards);
+}
+
+std::unique_ptr<Claims> Claims::create(const Options &options, LogHooks log, TimerService &timers)
+{
+    return std::make_unique<LogClaims>(options, std::move(log), timers);
+}
+
+LogClaims::LogClaims(const Options &options, LogHooks log, TimerService &timers)
+    : m_options(options),
+      m_log(std::move(log)),
+      m_timers(timers),
+      m_random(stableHash(options.vm.text(), options.incarnation)),
+      m_self(std::make_shared<LogClaims *>(this))
+{
+    assert(options.shards > 0 && "claims need a stream");
+}
+
+LogClaims::~LogClaims()
+{
+    *m_self = nullptr;
+    for (const auto &[number, waiter] : m_waiters) {
+        m_timers.cancel(waiter.deadlineTimer);
+        m_timers.cancel(waiter.retryTimer);
+    }
+    for (const auto &[number, outgoing] : m_outgoing)
+        m_timers.cancel(outgoing.timer);
+    for (const auto &[number, shard] : m_shards)
+        m_timers.cancel(shard->pollTimer);
+}
+
+void LogClaims::claim(const ClaimRequest &request, Callback callback)
+{
+    const Number number = addWaiter(request, std::move(callback));
+    Waiter &waiter = m_waiters.at(number);
+    waiter.claimId = m_options.vm.text() + "." + std::to_string(m_options.incarnation) + "."
+                     + std::to_string(number);
+    // One that is known to be claimed waits for that claim's end without an append of its own.
+    const ClaimIndex::Entry *entry = shard(waiter.shard).index.find(waiter.key);
+    if (!entry || (!entry->holder() && !entry->result))
+        append(number, waiter);
+    poll(waiter.shard);
+}
+
+void LogClaims::lookUp(const ClaimRequest &request, Callback callback)
+{
+    const Number number = addWaiter(request, std::move(callback));
+    poll(m_waiters.at(number).shard);
+}
+
+LogClaims::Number LogClaims::addWaiter(const ClaimRequest &request, Callback callback)
+{
+    const Number number = ++m_lastNumber;
+    Waiter &waiter = m_waiters[number];
+    waiter.request = request;
+    waiter.callback = std::move(callback);
+    waiter.key = hashKey(request);
+    waiter.shard = shardOf(waiter.key, m_options.shards);
+    waiter.begunAt = m_timers.now();
+    waiter.deadlineTimer = m_timers.subscribeAt(request.deadline - AnswerMargin,
+                                                [this, number] { onDeadline(number); });
+    return number;
+}
+
+LogClaims::Shard &LogClaims::shard(std::uint32_t number)
+{
+    std::unique_ptr<Shard> &shard = m_shards[number];
+    if (!shard) {
+        shard = std::make_unique<Shard>(m_options.recordLifetime);
+        startShard(number, *shard);
+    }
+    return *shard;
+}
+
+void LogClaims::startShard(std::uint32_t number, Shard &shard)
+{
+    const std::string stream = "claims-" + std::to_string(number);
+    Appender::Options appending;
+    appending.stream = stream;
+    appending.groupDelay = m_options.groupDelay;
+    shard.appender = Appender::create(appending, m_log, m_timers, m_random);
+
+    StreamReader::Options reading;
+    reading.stream = stream;
+    reading.pollInterval = m_options.idlePoll;
+    reading.maxBackoff = MaxReadBackoff;
+    StreamReader::Hooks hooks;
+    hooks.onRecord = [this, number](const LogRecord &record) { onRecord(number, record); };
+    hooks.onGap = [this, number](const StreamGap &) { onGap(number); };
+    hooks.onCaughtUp = [this, number](TimePoint asOf) { onCaughtUp(number, asOf); };
+    hooks.onFailure = [&shard](const absl::Status &status) { shard.lastFailure = status; };
+    shard.reader = StreamReader::create(reading, std::move(hooks), m_log, m_timers, m_random);
+    shard.reader->start();
+}
+
+// While the log is out the reader's own backoff sets the pace.
+void LogClaims::poll(std::uint32_t number)
+{
+    Shard &polled = shard(number);
+    if (polled.reader->isHealthy())
+        polled.reader->poll();
+    if (polled.pollTimer != NoTimer)
+        return;
+    polled.pollTimer = m_timers.subscribeAfter(m_options.busyPoll, [this, number] {
+        shard(number).pollTimer = NoTimer;
+        if (hasWaiters(number))
+            poll(number);
+    });
+}
+
+bool LogClaims::hasWaiters(std::uint32_t shardNumber) const
+{
+    return std::any_of(m_waiters.begin(), m_waiters.end(),
+                       [shardNumber](const auto &row) { return row.second.shard == shardNumber; });
+}
+
+void LogClaims::onRecord(std::uint32_t shardNumber, const LogRecord &record)
+{
+    const absl::StatusOr<ClaimRecord> decoded = decodeClaimRecord(record.data);
+    if (!decoded.ok()) {
+        ++m_counts.recordsUnread;
+        return;
+    }
+    shard(shardNumber).index.apply(*decoded, record.offset, m_timers.now());
+    evaluateShard(shardNumber, &decoded->key);
+}
+
+// What the log no longer has counts for nobody; what is left is read from its start.
+void LogClaims::onGap(std::uint32_t shardNumber)
+{
+    Shard &reset = shard(shardNumber);
+    if (reset.index.size() > 0)
+        ++m_counts.recordsUnread;
+    reset.index.clear();
+    reset.caughtUpAt.reset();
+}
+
+void LogClaims::onCaughtUp(std::uint32_t shardNumber, TimePoint asOf)
+{
+    Shard &read = shard(shardNumber);
+    read.index.expire(m_timers.now());
+    read.caughtUpAt = asOf;
+    read.lastFailure = absl::OkStatus();
+    evaluateShard(shardNumber, nullptr);
+}
+
+// Answers may add and remove waiters, so the numbers are taken first.
+void LogClaims::evaluateShard(std::uint32_t shardNumber, const std::string *key)
+{
+    std::vector<Number> numbers;
+    for (const auto &[number, waiter] : m_waiters) {
+        if (waiter.shard == shardNumber && (!key || waiter.key == *key))
+            numbers.push_back(number);
+    }
+    for (const Number number : numbers)
+        evaluate(number);
+}
+
+// The claim id stays the same in each append: whichever takes effect first counts.
+void LogClaims::append(Number number, Waiter &waiter)
+{
+    waiter.append = AppendState::Asked;
+    waiter.tries += 1;
+    if (waiter.tries > 1)
+        ++m_counts.appendsRepeated;
+    ClaimRecord record;
+    record.kind = ClaimRecordKind::Claim;
+    record.key = waiter.key;
+    record.claimId = waiter.claimId;
+    record.fingerprint = waiter.request.fingerprint;
+    shard(waiter.shard)
+            .appender->append(encodeClaimRecord(record),
+                              [this, number](const absl::StatusOr<LogOffset> &offset) {
+                                  onAppended(number, offset);
+                              });
+}
+
+void LogClaims::onAppended(Number number, const absl::StatusOr<LogOffset> &offset)
+{
+    const auto it = m_waiters.find(number);
+    if (it == m_waiters.end())
+        return;
+    Waiter &waiter = it->second;
+    if (offset.ok()) {
+        waiter.mayStand = true;
+        return poll(waiter.shard);
+    }
+    shard(waiter.shard).lastFailure = offset.status();
+    const ErrorCode code = errorCode(offset.status());
+    const bool isProvenAbsent = code == ErrorCode::LogUnavailable || code == ErrorCode::Overloaded;
+    waiter.mayStand = waiter.mayStand || !isProvenAbsent;
+    waiter.append = waiter.mayStand ? AppendState::Doubt : AppendState::None;
+    waiter.retryTimer = m_timers.subscribeAfter(retryDelay(waiter.tries, m_random), [this, number] {
+        m_waiters.at(number).retryTimer = NoTimer;
+        evaluate(number);
+    });
+    poll(waiter.shard);
+}
+
+void LogClaims::evaluate(Number number)
+{
+    const auto it = m_waiters.find(number);
+    if (it == m_waiters.end() || it->second.isFetching)
+        return;
+    Waiter &waiter = it->second;
+    const ClaimIndex::Entry *entry = shard(waiter.shard).index.find(waiter.key);
+    const bool isLookUp = waiter.claimId.empty();
+    if (entry && entry->result
+        && (isLookUp || entry->result->fingerprint == waiter.request.fingerprint))
+        return fetchResult(number, waiter, entry->result->offset);
+    if (const std::optional<ClaimAnswer> found = verdict(waiter, entry))
+        return answer(number, *found);
+    const bool isClaimed = entry && entry->holder();
+    const bool isAppending = waiter.append == AppendState::Asked || waiter.retryTimer != NoTimer;
+    if (!isLookUp && !isClaimed && !isAppending)
+        append(number, waiter);
+}
+
+std::optional<ClaimAnswer> LogClaims::verdict(const Waiter &waiter, const ClaimIndex::Entry *entry)
+{
+    ClaimAnswer answer;
+    const ClaimIndex::Claim *holder = entry ? entry->holder() : nullptr;
+    const bool isOther = (holder && holder->fingerprint != waiter.request.fingerprint)
+                         || (entry && entry->result);
+    if (isOther) {
+        answer.verdict = ClaimVerdict::Conflict;
+        answer.status = makeError(ErrorCode::IdempotencyKeyConflict,
+                                  "the key was used for another request");
+        return answer;
+    }
+    if (!waiter.claimId.empty()) {
+        if (!holder || holder->id != waiter.claimId)
+            return std::nullopt;
+        answer.verdict = ClaimVerdict::Won;
+        return answer;
+    }
+    if (!isRead(waiter))
+        return std::nullopt;
+    answer.verdict = holder ? ClaimVerdict::Unknown : ClaimVerdict::NotClaimed;
+    answer.status = holder ? makeError(ErrorCode::OutcomeUnknown, "claimed, without a result yet")
+                           : makeError(ErrorCode::NotFound, "the key is not claimed");
+    return answer;
+}
+
+bool LogClaims::isRead(const Waiter &waiter)
+{
+    const std::optional<TimePoint> caughtUpAt = shard(waiter.shard).caughtUpAt;
+    return caughtUpAt && *caughtUpAt >= waiter.begunAt;
+}
+
+bool LogClaims::isUnclaimedByOthers(const Waiter &waiter)
+{
+    const ClaimIndex::Entry *entry = shard(waiter.shard).index.find(waiter.key);
+    if (!entry)
+        return true;
+    return !entry->result
+           && std::none_of(entry->claims.begin(), entry->claims.end(),
+                           [&waiter](const ClaimIndex::Claim &claim) {
+                               return !claim.isVoid && claim.id != waiter.claimId;
+                           });
+}
+
+// The index keeps only where results are: their bodies would fill the node's memory.
+void LogClaims::fetchResult(Number number, Waiter &waiter, LogOffset offset)
+{
+    waiter.isFetching = true;
+    m_log.read("claims-" + std::to_string(waiter.shard), offset, 1,
+               [self = m_self, number](const absl::StatusOr<LogPage> &page) {
+                   if (*self)
+                       (*self)->onResult(number, page);
+               });
+}
+
+void LogClaims::onResult(Number number, const absl::StatusOr<LogPage> &page)
+{
+    const auto it = m_waiters.find(number);
+    if (it == m_waiters.end())
+        return;
+    Waiter &waiter = it->second;
+    waiter.isFetching = false;
+    if (!page.ok() || page->records.empty()) {
+        // Polling asks for it again.
+        return poll(waiter.shard);
+    }
+    const absl::StatusOr<ClaimRecord> record = decodeClaimRecord(page->records.front().data);
+    ClaimAnswer found;
+    found.verdict = ClaimVerdict::Done;
+    if (record.ok())
+        found.result = record->response;
+    answer(number, std::move(found));
+}
+
+void LogClaims::onDeadline(Number number)
+{
+    const auto it = m_waiters.find(number);
+    assert(it != m_waiters.end() && "an answered claim has no timer");
+    it->second.deadlineTimer = NoTimer;
+    answer(number, answerAtDeadline(it->second));
+}
+
+// The claim will not be used from here on, whatever becomes of its record, so for this submission
+// "not run" is true. It is true of the key only if the stream, read to its end since this claim
+// began, holds no claim or result of another submission.
+ClaimAnswer LogClaims::answerAtDeadline(const Waiter &waiter)
+{
+    ClaimAnswer answer;
+    const absl::Status &failure = shard(waiter.shard).lastFailure;
+    const bool isProven = isRead(waiter) && isUnclaimedByOthers(waiter);
+    answer.verdict = isProven ? ClaimVerdict::NotClaimed : ClaimVerdict::Unknown;
+    if (!failure.ok())
+        answer.status = failure;
+    else
+        answer.status =
+                makeError(isProven ? ErrorCode::DeadlineExceeded : ErrorCode::OutcomeUnknown,
+                          "the claim was not decided by the deadline");
+    return answer;
+}
+
+void LogClaims::answer(Number number, ClaimAnswer answer)
+{
+    const auto it = m_waiters.find(number);
+    const Waiter waiter = std::move(it->second);
+    m_timers.cancel(waiter.deadlineTimer);
+    m_timers.cancel(waiter.retryTimer);
+    m_waiters.erase(it);
+    count(answer.verdict);
+    const bool isWon = answer.verdict == ClaimVerdict::Won;
+    if (isWon) {
+        m_won[waiter.key] = WonClaim{waiter.claimId, m_timers.now() + waiter.request.keyWindow};
+    } else if (waiter.append != AppendState::None && answer.verdict != ClaimVerdict::Done) {
+        // Left standing, the claim would block the key once those before it are gone.
+        ClaimRecord record;
+        record.kind = ClaimRecordKind::Void;
+        record.key = waiter.key;
+        record.claimId = waiter.claimId;
+        send(waiter.shard, record, waiter.request.keyWindow);
+    }
+    waiter.callback(answer);
+}
+
+void LogClaims::count(ClaimVerdict verdict)
+{
+    switch (verdict) {
+    case ClaimVerdict::Won:
+        ++m_counts.won;
+        return;
+    case ClaimVerdict::Done:
+        ++m_counts.done;
+        return;
+    case ClaimVerdict::Unknown:
+        ++m_counts.unknown;
+        return;
+    case ClaimVerdict::Conflict:
+        ++m_counts.conflict;
+        return;
+    case ClaimVerdict::NotClaimed:
+        ++m_counts.notClaimed;
+        return;
+    }
+}
+
+void LogClaims::recordResult(const ClaimRequest &request, const PlainResponse &response)
+{
+    ClaimRecord record;
+    record.kind = ClaimRecordKind::Result;
+    record.response = response;
+    recordEnd(request, std::move(record));
+}
+
+void LogClaims::recordNotRun(const ClaimRequest &request, const absl::Status &)
+{
+    ClaimRecord record;
+    record.kind = ClaimRecordKind::Void;
+    recordEnd(request, std::move(record));
+}
+
+void LogClaims::recordEnd(const ClaimRequest &request, ClaimRecord record)
+{
+    record.key = hashKey(request);
+    record.fingerprint = request.fingerprint;
+    const auto it = m_won.find(record.key);
+    if (it == m_won.end())
+        return;
+    record.claimId = it->second.claimId;
+    m_won.erase(it);
+    std::erase_if(m_won,
+                  [now = m_timers.now()](const auto &row) { return row.second.forgetAt <= now; });
+    send(shardOf(record.key, m_options.shards), record, request.keyWindow);
+}
+
+void LogClaims::send(std::uint32_t shardNumber, const ClaimRecord &record, Duration window)
+{
+    const Number number = ++m_lastNumber;
+    Outgoing &outgoing = m_outgoing[number];
+    outgoing.shard = shardNumber;
+    outgoing.record = encodeClaimRecord(record);
+    outgoing.giveUpAt = m_timers.now() + window;
+    sendOutgoing(number);
+}
+
+void LogClaims::sendOutgoing(Number number)
+{
+    Outgoing &outgoing = m_outgoing.at(number);
+    ++outgoing.tries;
+    shard(outgoing.shard)
+            .appender->append(outgoing.record,
+                              [this, number](const absl::StatusOr<LogOffset> &offset) {
+                                  onSent(number, offset);
+                              });
+}
+
+// Appending an end twice is harmless, so a lost answer is simply tried again.
+void LogClaims::onSent(Number number, const absl::StatusOr<LogOffset> &offset)
+{
+    const auto it = m_outgoing.find(number);
+    assert(it != m_outgoing.end() && "each append of an end is answered once");
+    Outgoing &outgoing = it->second;
+    if (offset.ok() || m_timers.now() >= outgoing.giveUpAt) {
+        m_outgoing.erase(it);
+        return;
+    }
+    outgoing.timer = m_timers.subscribeAfter(retryDelay(outgoing.tries, m_random),
+                                             [this, number] { sendOutgoing(number); });
+}
+
+} // namespace currantwalk
--- /dev/null
+++ b/src/calls/logclaims.h
@@ -0,0 +1,136 @@
+#ifndef CURRANTWALK_CALLS_LOGCLAIMS_H
+#define CURRANTWALK_CALLS_LOGCLAIMS_H
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/randomsource.h"
+#include "calls/claimindex.h"
+#include "calls/claims.h"
+#include "log/appender.h"
+#include "log/streamreader.h"
+
+namespace currantwalk {
+
+/// Claims that this node appends and reads back itself.
+class LogClaims : public Claims
+{
+public:
+    LogClaims(const Options &options, LogHooks log, TimerService &timers);
+    ~LogClaims() override;
+
+    LogClaims(const LogClaims &) = delete;
+    LogClaims &operator=(const LogClaims &) = delete;
+
+    void claim(const ClaimRequest &request, Callback callback) override;
+    void recordResult(const ClaimRequest &request, const PlainResponse &response) override;
+    void recordNotRun(const ClaimRequest &request, const absl::Status &status) override;
+    void lookUp(const ClaimRequest &request, Callback callback) override;
+    std::size_t unsettled() const override { return m_waiters.size() + m_outgoing.size(); }
+    const ClaimCounts &counts() const override { return m_counts; }
+
+private:
+    using Number = std::uint64_t;
+
+    /// One stream, what was read of it, and the way to append to it.
+    struct Shard
+    {
+        explicit Shard(Duration lifetime) : index(lifetime) {}
+
+        ClaimIndex index;
+        std::optional<TimePoint> caughtUpAt; // All records up to then were read.
+        absl::Status lastFailure;
+        std::unique_ptr<Appender> appender;
+        std::unique_ptr<StreamReader> reader;
+        TimerId pollTimer = NoTimer;
+    };
+
+    enum class AppendState {
+        None,  ///< Not appended, and proven so.
+        Asked, ///< An append is on its way.
+        Doubt, ///< An append failed, and it may have taken effect.
+    };
+
+    /// A claim or a look-up that waits for an answer.
+    struct Waiter
+    {
+        ClaimRequest request;
+        Callback callback;
+        std::string key;
+        std::string claimId; // Empty for a look-up.
+        std::uint32_t shard = 0;
+        TimePoint begunAt{};
+        AppendState append = AppendState::None;
+        bool mayStand = false; // Some append of it may have taken effect.
+        std::uint32_t tries = 0;
+        bool isFetching = false;
+        TimerId deadlineTimer = NoTimer;
+        TimerId retryTimer = NoTimer;
+    };
+
+    /// A claim that was won and whose end is not yet written.
+    struct WonClaim
+    {
+        std::string claimId;
+        TimePoint forgetAt{};
+    };
+
+    /// A record of how a claim ended, until the log has it.
+    struct Outgoing
+    {
+        std::uint32_t shard = 0;
+        std::string record;
+        TimePoint giveUpAt{};
+        std::uint32_t tries = 0;
+        TimerId timer = NoTimer;
+    };
+
+    Number addWaiter(const ClaimRequest &request, Callback callback);
+    Shard &shard(std::uint32_t number);
+    void startShard(std::uint32_t number, Shard &shard);
+    void poll(std::uint32_t number);
+    bool hasWaiters(std::uint32_t shardNumber) const;
+    void onRecord(std::uint32_t shardNumber, const LogRecord &record);
+    void onGap(std::uint32_t shardNumber);
+    void onCaughtUp(std::uint32_t shardNumber, TimePoint asOf);
+
+    void append(Number number, Waiter &waiter);
+    void onAppended(Number number, const absl::StatusOr<LogOffset> &offset);
+    void evaluate(Number number);
+    void evaluateShard(std::uint32_t shardNumber, const std::string *key);
+    std::optional<ClaimAnswer> verdict(const Waiter &waiter, const ClaimIndex::Entry *entry);
+    std::optional<ClaimAnswer> lookUpVerdict(const Waiter &waiter, const ClaimIndex::Claim *holder);
+    bool isRead(const Waiter &waiter);
+    bool isUnclaimedByOthers(const Waiter &waiter);
+    void fetchResult(Number number, Waiter &waiter, LogOffset offset);
+    void onResult(Number number, const absl::StatusOr<LogPage> &page);
+    void onDeadline(Number number);
+    ClaimAnswer answerAtDeadline(const Waiter &waiter);
+    void answer(Number number, ClaimAnswer answer);
+    void count(ClaimVerdict verdict);
+
+    void recordEnd(const ClaimRequest &request, ClaimRecord record);
+    void send(std::uint32_t shard, const ClaimRecord &record, Duration window);
+    void sendOutgoing(Number number);
+    void onSent(Number number, const absl::StatusOr<LogOffset> &offset);
+
+    const Options m_options;
+    const LogHooks m_log;
+    TimerService &m_timers;
+    RandomSource m_random;
+
+    Number m_lastNumber = 0;
+    std::map<std::uint32_t, std::unique_ptr<Shard>> m_shards;
+    std::map<Number, Waiter> m_waiters;
+    std::map<std::string, WonClaim> m_won; // By key.
+    std::map<Number, Outgoing> m_outgoing;
+    ClaimCounts m_counts;
+    std::shared_ptr<LogClaims *> m_self; // Callbacks that outlive this find null.
+};
+
+} // namespace currantwalk
+
+#endif // CURRANTWALK_CALLS_LOGCLAIMS_H
--- a/src/calls/plainmachine.cpp
+++ b/src/calls/plainmachine.cpp
@@ -206,8 +206,11 @@
     setTimer(retryDelay(m_retries + 1, m_random), &PlainMachine::place);
 }
 
+// After a pause of the process the answer to a placement may be read before the deadline's timer.
 void PlainMachine::send()
 {
+    if (m_timers.now() >= m_request.deadline)
+        return onDeadline();
     requireInvariant(!needsClaim() || m_isClaimWon, Invariant::ClaimedBeforeSending);
     requireInvariant(m_request.isIdempotent || m_sendsInDoubt == 0 || canAskTarget(),
                      Invariant::AtMostOneSend);
@@ -273,7 +276,6 @@
 
 void PlainMachine::onDeadline()
 {
-    m_deadlineTimer = NoTimer;
     dropExchange();
     const absl::Status status =
             makeError(ErrorCode::DeadlineExceeded, "no answer came by the deadline");
--- /dev/null
+++ b/src/calls/poisontracker.cpp
@@ -0,0 +1,212 @@
+#include "calls/poisontracker.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+namespace currantwalk {
+
+static constexpr std::size_t DeathsToRefuse = 2;
+static constexpr Duration SuspicionLifetime = std::chrono::minutes(10);
+static constexpr Duration RefusalLifetime = std::chrono::hours(1);
+// Bound what a flood of distinct requests may take of the node's memory and of its messages.
+static constexpr std::size_t MaxEntries = 10000;
+static constexpr std::size_t MaxReportsPerDeath = 32;
+
+namespace {
+
+struct Death
+{
+    TargetId target;
+    Incarnation incarnation = 0;
+
+    friend bool operator==(const Death &, const Death &) = default;
+};
+
+struct Record
+{
+    std::vector<Death> deaths;
+    TimePoint lastDeathAt{};
+};
+
+struct Run
+{
+    std::uint64_t fingerprint = 0;
+    Incarnation incarnation = 0;
+    TimePoint startedAt{};
+};
+
+class PoisonTable : public PoisonTracker
+{
+public:
+    PoisonTable(TimerService &timers, std::function<void(const PoisonReport &)> announce)
+        : m_timers(timers), m_announce(std::move(announce))
+    {
+    }
+
+    Suspicion suspicion(std::uint64_t fingerprint) const override;
+    void onRunning(std::uint64_t fingerprint, const TargetId &target,
+                   Incarnation incarnation) override;
+    void onReleased(std::uint64_t fingerprint, const TargetId &target, bool isComplete) override;
+    void onTargetDied(const TargetId &target, Incarnation incarnation) override;
+    void onReport(const PoisonReport &report) override;
+    void clear(std::uint64_t fingerprint) override { m_records.erase(fingerprint); }
+    std::vector<Entry> entries() const override;
+
+private:
+    bool isExpired(const Record &record) const;
+    bool addDeath(std::uint64_t fingerprint, const Death &death);
+    void makeRoom();
+    std::vector<Run> takeRuns(const TargetId &target, Incarnation incarnation);
+
+    TimerService &m_timers;
+    const std::function<void(const PoisonReport &)> m_announce;
+    std::unordered_map<std::uint64_t, Record> m_records;
+    std::map<TargetId, std::vector<Run>> m_runs;
+};
+
+} // namespace
+
+static Suspicion suspicionOf(const Record &record)
+{
+    return record.deaths.size() >= DeathsToRefuse ? Suspicion::Refused : Suspicion::Suspect;
+}
+
+std::unique_ptr<PoisonTracker>
+PoisonTracker::create(TimerService &timers, std::function<void(const PoisonReport &)> announce)
+{
+    return std::make_unique<PoisonTable>(timers, std::move(announce));
+}
+
+bool PoisonTable::isExpired(const Record &record) const
+{
+    const bool isRefused = suspicionOf(record) == Suspicion::Refused;
+    const Duration lifetime = isRefused ? RefusalLifetime : SuspicionLifetime;
+    return m_timers.now() - record.lastDeathAt >= lifetime;
+}
+
+Suspicion PoisonTable::suspicion(std::uint64_t fingerprint) const
+{
+    const auto it = m_records.find(fingerprint);
+    if (it == m_records.end() || isExpired(it->second))
+        return Suspicion::None;
+    return suspicionOf(it->second);
+}
+
+void PoisonTable::onRunning(std::uint64_t fingerprint, const TargetId &target,
+                            Incarnation incarnation)
+{
+    m_runs[target].push_back(Run{fingerprint, incarnation, m_timers.now()});
+}
+
+// A request that completes crashes nothing, however many targets died beside it. A refusal stays:
+// one that was let through before may still complete where a crash needs a certain state.
+void PoisonTable::onReleased(std::uint64_t fingerprint, const TargetId &target, bool isComplete)
+{
+    const auto record = m_records.find(fingerprint);
+    if (isComplete && record != m_records.end()
+        && suspicionOf(record->second) == Suspicion::Suspect)
+        m_records.erase(record);
+    const auto runs = m_runs.find(target);
+    if (runs == m_runs.end())
+        return;
+    const auto run =
+            std::find_if(runs->second.begin(), runs->second.end(), [fingerprint](const Run &each) {
+                return each.fingerprint == fingerprint;
+            });
+    if (run != runs->second.end())
+        runs->second.erase(run);
+    if (runs->second.empty())
+        m_runs.erase(runs);
+}
+
+// Latest first: a request that crashes its target mostly does so early.
+std::vector<Run> PoisonTable::takeRuns(const TargetId &target, Incarnation incarnation)
+{
+    const auto it = m_runs.find(target);
+    if (it == m_runs.end())
+        return {};
+    std::vector<Run> &all = it->second;
+    const auto taken = std::stable_partition(all.begin(), all.end(), [incarnation](const Run &run) {
+        return run.incarnation > incarnation;
+    });
+    std::vector<Run> runs(taken, all.end());
+    all.erase(taken, all.end());
+    if (all.empty())
+        m_runs.erase(it);
+    std::stable_sort(runs.begin(), runs.end(), [](const Run &left, const Run &right) {
+        return left.startedAt > right.startedAt;
+    });
+    return runs;
+}
+
+void PoisonTable::onTargetDied(const TargetId &target, Incarnation incarnation)
+{
+    const std::vector<Run> runs = takeRuns(target, incarnation);
+    std::size_t reports = 0;
+    for (const Run &run : runs) {
+        const bool isNew = addDeath(run.fingerprint, Death{target, run.incarnation});
+        if (!isNew || ++reports > MaxReportsPerDeath)
+            continue;
+        const auto neighbours = static_cast<std::uint32_t>(runs.size() - 1);
+        m_announce(PoisonReport{run.fingerprint, target, run.incarnation, neighbours});
+    }
+}
+
+void PoisonTable::onReport(const PoisonReport &report)
+{
+    addDeath(report.fingerprint, Death{report.target, report.incarnation});
+}
+
+// One death counts once, through however many nodes it is heard of.
+bool PoisonTable::addDeath(std::uint64_t fingerprint, const Death &death)
+{
+    const auto it = m_records.find(fingerprint);
+    if (it != m_records.end() && isExpired(it->second))
+        m_records.erase(it);
+    makeRoom();
+    Record &record = m_records[fingerprint];
+    if (std::find(record.deaths.begin(), record.deaths.end(), death) != record.deaths.end())
+        return false;
+    record.deaths.push_back(death);
+    record.lastDeathAt = m_timers.now();
+    return true;
+}
+
+// Refusals go last: forgetting one costs a target.
+void PoisonTable::makeRoom()
+{
+    if (m_records.size() < MaxEntries)
+        return;
+    std::erase_if(m_records, [this](const auto &row) { return isExpired(row.second); });
+    if (m_records.size() < MaxEntries)
+        return;
+    const auto rank = [](const Record &record) {
+        return std::make_pair(suspicionOf(record) == Suspicion::Refused, record.lastDeathAt);
+    };
+    m_records.erase(std::min_element(m_records.begin(), m_records.end(),
+                                     [&rank](const auto &left, const auto &right) {
+                                         return rank(left.second) < rank(right.second);
+                                     }));
+}
+
+std::vector<PoisonTracker::Entry> PoisonTable::entries() const
+{
+    std::vector<Entry> entries;
+    for (const auto &[fingerprint, record] : m_records) {
+        if (isExpired(record))
+            continue;
+        Entry entry{fingerprint, suspicionOf(record), {}};
+        for (const Death &death : record.deaths)
+            entry.deaths.push_back(death.target);
+        entries.push_back(std::move(entry));
+    }
+    std::sort(entries.begin(), entries.end(), [](const Entry &left, const Entry &right) {
+        return left.fingerprint < right.fingerprint;
+    });
+    return entries;
+}
+
+} // namespace currantwalk
