Membership: gossip within zones, heartbeats and few links between them

Cause: nodes knew nothing of each other. Change: failure detection with incarnations, suspicion and indirect probes inside a zone; zones reach each other over a ring with power-of-two links; tables are repaired by hashes of zones.

--- /dev/null
+++ b/src/membership/gossipmembership.cpp
@@ -0,0 +1,517 @@
+#include "membership/gossipmembership.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "membership/zonelinks.h"
+
+namespace currantwalk {
+
+constexpr std::uint32_t TicksPerInterval = 4;
+constexpr std::size_t IndirectProbes = 3;
+constexpr std::size_t SeedsWhileAlone = 3;
+constexpr double SeedChance = 0.2;  ///< Of contacting a lost seed or member in an interval.
+constexpr double SuspectProbes = 3; ///< Pings of a suspect by its zone in one interval.
+constexpr Duration FreshAck = std::chrono::seconds(30);
+constexpr Duration Alone = std::chrono::seconds(10); ///< After the start, for eager contacts.
+constexpr Duration DropZoneAfter = std::chrono::minutes(10);
+const std::string HeartbeatKey = "heartbeat";
+
+std::unique_ptr<Membership> Membership::create(const Options &options, Hooks hooks,
+                                               TimerService &timers, RandomSource &random)
+{
+    return std::make_unique<GossipMembership>(options, std::move(hooks), timers, random);
+}
+
+GossipMembership::GossipMembership(const Options &options, Hooks hooks, TimerService &timers,
+                                   RandomSource &random)
+    : m_options(options),
+      m_hooks(std::move(hooks)),
+      m_timers(timers),
+      m_random(random),
+      m_self(options.self),
+      m_budget(options.bytesPerSecond, timers.now())
+{
+    assert(!m_self.vm.isEmpty() && !m_self.zone.empty() && "a node knows its name and zone");
+    m_self.state = MemberState::Alive;
+    m_self.changedAt = timers.now();
+    m_table.put(m_self);
+    addSeeds(options.seeds);
+}
+
+GossipMembership::~GossipMembership()
+{
+    m_timers.cancel(m_tickTimer);
+    for (const TimerId id : m_pendingTimers)
+        m_timers.cancel(id);
+}
+
+void GossipMembership::subscribe(Duration delay, std::function<void()> callback)
+{
+    // The id is known only after the subscription, so the callback reads it from a shared cell.
+    const auto id = std::make_shared<TimerId>(NoTimer);
+    *id = m_timers.subscribeAfter(delay, [this, id, callback = std::move(callback)] {
+        m_pendingTimers.erase(*id);
+        callback();
+    });
+    m_pendingTimers.insert(*id);
+}
+
+void GossipMembership::start()
+{
+    m_startedAt = m_timers.now();
+    contactSeeds();
+    const Duration phase = m_random.jitter(m_options.probeInterval / TicksPerInterval);
+    m_tickDue = m_timers.now() + phase;
+    m_tickTimer = m_timers.subscribeAt(m_tickDue, [this] { tick(); });
+}
+
+void GossipMembership::tick()
+{
+    if (m_hasLeft)
+        return;
+    const bool isDelayed = noteDelay();
+    if (!isDelayed)
+        expireSuspicions();
+    probeSuspects();
+    if (++m_ticks % TicksPerInterval == 0) {
+        updateLinks();
+        probeNext();
+        pingLinks();
+        contactSeeds();
+        beatHeart();
+        checkReach();
+        m_table.forgetOld(m_timers.now());
+        m_probes.forgetRelayedBefore(m_timers.now() - m_options.probeInterval);
+    }
+    m_tickDue = m_timers.now() + m_options.probeInterval / TicksPerInterval;
+    m_tickTimer = m_timers.subscribeAt(m_tickDue, [this] { tick(); });
+}
+
+// A node that was paused missed the answers to its pings: it must not blame others for that.
+bool GossipMembership::noteDelay()
+{
+    const TimePoint now = m_timers.now();
+    if (now - m_tickDue < m_options.probeInterval)
+        return false;
+    m_probes.clear();
+    for (auto &[vm, deadline] : m_suspicions)
+        deadline = now + m_options.suspicionTimeout;
+    return true;
+}
+
+void GossipMembership::expireSuspicions()
+{
+    const TimePoint now = m_timers.now();
+    std::vector<VmId> expired;
+    for (const auto &[vm, deadline] : m_suspicions) {
+        if (deadline <= now)
+            expired.push_back(vm);
+    }
+    for (const VmId &vm : expired) {
+        m_suspicions.erase(vm);
+        const Member *member = m_table.find(vm);
+        if (!member || member->state != MemberState::Suspected)
+            continue;
+        MemberUpdate update = shortUpdate(*member);
+        update.state = MemberState::Dead;
+        onUpdate(update, false);
+    }
+}
+
+void GossipMembership::updateLinks()
+{
+    m_bridgedZones.clear();
+    std::vector<std::string> zones;
+    for (const auto &[name, members] : m_table.zones()) {
+        zones.push_back(name);
+        m_heartbeats.expect(name, m_timers.now());
+    }
+    const auto reach = [this](const std::string &zone) { return isReachable(zone); };
+    const std::vector<Member> own = aliveInZone(m_self.zone);
+    for (const std::string &zone : linkedZones(zones, m_self.zone, reach)) {
+        for (const Member &bridge : rendezvousMembers(own, zone, m_options.bridgesPerLink)) {
+            if (isSelf(bridge.vm))
+                m_bridgedZones.push_back(zone);
+        }
+    }
+}
+
+void GossipMembership::pingLinks()
+{
+    for (const std::string &zone : m_bridgedZones) {
+        for (const Member *member : choose(presentPeers(zone), 1))
+            ping(*member, m_probes.begin({VmId(), 0}));
+    }
+}
+
+// Who knows no other node of its zone asks its seeds; later on, now and then one seed or member
+// that is thought dead is asked, so that a split heals.
+void GossipMembership::contactSeeds()
+{
+    const bool isAlone = presentPeers(m_self.zone).empty();
+    const bool isEager = isAlone && m_timers.now() - m_startedAt < Alone;
+    if (!isEager && !m_random.chance(SeedChance))
+        return;
+    std::set<Endpoint> known;
+    std::vector<Endpoint> lost;
+    for (const auto &[name, members] : m_table.zones()) {
+        for (const auto &[vm, member] : members) {
+            if (isPresent(member))
+                known.insert(member.endpoint);
+            else if (member.state == MemberState::Dead && isOwnZone(member))
+                lost.push_back(member.endpoint);
+        }
+    }
+    for (const Endpoint &seed : m_seeds) {
+        if (isAlone ? seed != m_self.endpoint : known.count(seed) == 0)
+            lost.push_back(seed);
+    }
+    for (std::size_t i = 0; i < (isEager ? SeedsWhileAlone : 1) && !lost.empty(); ++i) {
+        std::swap(lost[m_random.below(lost.size())], lost.back());
+        GossipMessage message = makeMessage(GossipMessageKind::Ping);
+        message.number = m_probes.begin({VmId(), 0});
+        message.updates.push_back(fullUpdate(m_self));
+        sendTo(lost.back(), true, message, MessageUrgency::Probe);
+        lost.pop_back();
+    }
+}
+
+void GossipMembership::beatHeart()
+{
+    const TimePoint now = m_timers.now();
+    const std::vector<Member> first = rendezvousMembers(aliveInZone(m_self.zone), HeartbeatKey, 1);
+    if (now < m_nextBeatAt || first.empty() || !isSelf(first[0].vm))
+        return;
+    m_nextBeatAt = now + m_heartbeats.interval();
+    onHeartbeat({m_self.zone, m_heartbeats.count(m_self.zone) + 1});
+}
+
+void GossipMembership::checkReach()
+{
+    std::vector<std::string> gone;
+    for (const auto &[name, members] : m_table.zones()) {
+        const bool isInReach = isReachable(name);
+        if (m_heartbeats.silence(name, m_timers.now()) > DropZoneAfter && name != m_self.zone)
+            gone.push_back(name);
+        const bool isChange =
+                isInReach ? m_unreachable.erase(name) > 0 : m_unreachable.insert(name).second;
+        if (!isChange)
+            continue;
+        const std::vector<const Member *> present = presentPeers(name);
+        for (const Member *member : present)
+            m_hooks.onChange(viewOf(*member));
+    }
+    for (const std::string &zone : gone) {
+        m_table.dropZone(zone);
+        m_heartbeats.forget(zone);
+        m_unreachable.erase(zone);
+    }
+}
+
+void GossipMembership::probeNext()
+{
+    while (true) {
+        if (m_probeOrder.empty()) {
+            for (const Member *member : presentPeers(m_self.zone))
+                m_probeOrder.push_back(member->vm);
+            for (std::size_t i = m_probeOrder.size(); i > 1; --i)
+                std::swap(m_probeOrder[i - 1], m_probeOrder[m_random.below(i)]);
+        }
+        if (m_probeOrder.empty())
+            return;
+        const VmId vm = m_probeOrder.back();
+        m_probeOrder.pop_back();
+        const Member *member = m_table.find(vm);
+        if (!member || !isPresent(*member))
+            continue;
+        probeMember(*member);
+        return;
+    }
+}
+
+// The zone as a whole asks a suspect a few times in each interval, so that it hears of the
+// suspicion though messages are lost.
+void GossipMembership::probeSuspects()
+{
+    const auto peers = static_cast<double>(presentPeers(m_self.zone).size());
+    const double chance = std::min(1.0, SuspectProbes / std::max(1.0, peers) / TicksPerInterval);
+    for (const auto &[vm, deadline] : m_suspicions) {
+        const Member *member = m_table.find(vm);
+        if (member && m_random.chance(chance))
+            ping(*member, m_probes.begin({VmId(), 0}));
+    }
+}
+
+void GossipMembership::probeMember(const Member &member)
+{
+    const std::uint32_t number = m_probes.begin({member.vm, member.incarnation});
+    if (!ping(member, number)) {
+        m_probes.finish(number);
+        return;
+    }
+    subscribe(m_options.probeTimeout, [this, number] { probeIndirectly(number); });
+    subscribe(m_options.probeInterval * 9 / 10, [this, number] { failProbe(number); });
+}
+
+void GossipMembership::probeIndirectly(std::uint32_t number)
+{
+    const Probe *probe = m_probes.find(number);
+    const Member *member = probe ? m_table.find(probe->vm) : nullptr;
+    if (!member || member->state != MemberState::Alive)
+        return;
+    const Member target = *member;
+    std::vector<const Member *> helpers = presentPeers(m_self.zone);
+    std::erase_if(helpers, [&](const Member *helper) { return helper->vm == target.vm; });
+    ping(target, number);
+    for (const Member *helper : choose(std::move(helpers), IndirectProbes)) {
+        GossipMessage message = makeMessage(GossipMessageKind::PingRequest);
+        message.number = number;
+        message.to = target.vm;
+        message.pingTarget = target.endpoint;
+        send(*helper, message);
+    }
+}
+
+void GossipMembership::failProbe(std::uint32_t number)
+{
+    const std::optional<Probe> probe = m_probes.finish(number);
+    const Member *member = probe ? m_table.find(probe->vm) : nullptr;
+    if (!member || member->state != MemberState::Alive || member->incarnation != probe->incarnation)
+        return;
+    suspect(*member);
+}
+
+void GossipMembership::suspect(const Member &member)
+{
+    MemberUpdate update = shortUpdate(member);
+    update.state = MemberState::Suspected;
+    onUpdate(update, false);
+}
+
+bool GossipMembership::ping(const Member &member, std::uint32_t number)
+{
+    GossipMessage message = makeMessage(GossipMessageKind::Ping);
+    message.number = number;
+    message.to = member.vm;
+    if (member.state != MemberState::Alive)
+        message.updates.push_back(shortUpdate(member));
+    const auto acked = m_ackedAt.find(member.vm);
+    const bool isKnownThere = isOwnZone(member) && acked != m_ackedAt.end()
+                              && m_timers.now() - acked->second < FreshAck
+                              && member.state == MemberState::Alive;
+    if (!isKnownThere)
+        message.updates.push_back(fullUpdate(m_self));
+    return send(member, message);
+}
+
+void GossipMembership::onMessage(const Json::Value &json)
+{
+    absl::StatusOr<GossipMessage> message = readMessage(json);
+    if (!message.ok() || isSelf(message->from)) {
+        ++m_messagesRefused;
+        return;
+    }
+    for (const MemberUpdate &update : message->updates)
+        onUpdate(update, message->kind == GossipMessageKind::TableRecords);
+    for (const ZoneCounter &heartbeat : message->heartbeats)
+        onHeartbeat(heartbeat);
+    noteSender(*message);
+    for (const GossipFact &fact : message->facts)
+        onFactHeard(fact, *message);
+    if (m_hasLeft)
+        return;
+    switch (message->kind) {
+    case GossipMessageKind::Ping:
+        onPing(*message);
+        break;
+    case GossipMessageKind::Ack:
+        onAck(*message);
+        break;
+    case GossipMessageKind::PingRequest:
+        onPingRequest(*message);
+        break;
+    case GossipMessageKind::News:
+        accuse(*message);
+        break;
+    case GossipMessageKind::TableHashes:
+        onTableHashes(*message);
+        return;
+    case GossipMessageKind::TableRecords:
+        onTableRecords(*message);
+        return;
+    }
+    compareHash(*message);
+}
+
+// A sender whose incarnation is higher than the one known has refuted or restarted since.
+void GossipMembership::noteSender(const GossipMessage &message)
+{
+    const Member *sender = m_table.find(message.from);
+    if (!sender)
+        return;
+    if (message.incarnation > sender->incarnation) {
+        MemberUpdate update = fullUpdate(*sender);
+        update.incarnation = message.incarnation;
+        update.state = MemberState::Alive;
+        onUpdate(update, false);
+    }
+    if (m_table.raiseVersion(message.from, message.configVersion))
+        m_hooks.onChange(viewOf(*m_table.find(message.from)));
+    if (m_hasJoined)
+        return;
+    m_hasJoined = true;
+    spread(m_self, true);
+    push({1, m_table.zone(m_self.zone).size(), true, false, Duration(0)});
+}
+
+void GossipMembership::onPing(const GossipMessage &message)
+{
+    const Member *sender = m_table.find(message.from);
+    if (!sender || (message.to && !isSelf(*message.to))) {
+        ++m_messagesRefused;
+        return;
+    }
+    GossipMessage answer = makeMessage(GossipMessageKind::Ack);
+    answer.number = message.number;
+    if (sender->state != MemberState::Alive)
+        answer.updates.push_back(shortUpdate(*sender));
+    if (!message.to)
+        answer.updates.push_back(fullUpdate(m_self));
+    send(*sender, answer);
+}
+
+void GossipMembership::onAck(const GossipMessage &message)
+{
+    if (const std::optional<RelayedProbe> relayed = m_probes.finishRelayed(message.number)) {
+        const Member *requester = m_table.find(relayed->requester);
+        if (!requester)
+            return;
+        GossipMessage answer = makeMessage(GossipMessageKind::Ack);
+        answer.number = relayed->number;
+        answer.to = message.from;
+        send(*requester, answer);
+        return;
+    }
+    if (!message.to)
+        m_ackedAt[message.from] = m_timers.now();
+    m_probes.finish(message.number);
+}
+
+void GossipMembership::onPingRequest(const GossipMessage &message)
+{
+    const Member *requester = m_table.find(message.from);
+    if (!requester) {
+        ++m_messagesRefused;
+        return;
+    }
+    const std::uint32_t number = m_probes.relay({requester->vm, message.number, m_timers.now()});
+    GossipMessage request = makeMessage(GossipMessageKind::Ping);
+    request.number = number;
+    request.to = message.to;
+    request.updates.push_back(fullUpdate(m_self));
+    sendTo(*message.pingTarget, false, request, MessageUrgency::Probe);
+}
+
+// Tells a sender that is taken for suspect or dead, so that it refutes.
+void GossipMembership::accuse(const GossipMessage &message)
+{
+    const Member *sender = m_table.find(message.from);
+    if (!sender || sender->state == MemberState::Alive || sender->state == MemberState::Left)
+        return;
+    GossipMessage answer = makeMessage(GossipMessageKind::News);
+    answer.updates.push_back(shortUpdate(*sender));
+    send(*sender, answer);
+}
+
+void GossipMembership::addSeeds(const std::vector<Endpoint> &seeds)
+{
+    for (const Endpoint &seed : seeds) {
+        const bool isKnown = std::find(m_seeds.begin(), m_seeds.end(), seed) != m_seeds.end();
+        if (!isKnown && seed != m_self.endpoint)
+            m_seeds.push_back(seed);
+    }
+}
+
+void GossipMembership::setConfigVersion(LogOffset version)
+{
+    if (version <= m_self.configVersion)
+        return;
+    m_self.configVersion = version;
+    m_table.raiseVersion(m_self.vm, version);
+    constexpr std::uint32_t Rounds = 4;
+    constexpr std::size_t PeersPerRound = 3;
+    push({Rounds, PeersPerRound, true, true, std::chrono::milliseconds(400)});
+}
+
+void GossipMembership::leave()
+{
+    m_self.state = MemberState::Left;
+    m_table.put(m_self);
+    spread(m_self, false);
+    runPush({1, m_table.zone(m_self.zone).size(), true, false, Duration(0)});
+    m_hasLeft = true;
+}
+
+std::vector<Member> GossipMembership::members() const
+{
+    std::map<VmId, Member> ordered;
+    for (const auto &[name, zone] : m_table.zones()) {
+        for (const auto &[vm, member] : zone)
+            ordered.emplace(vm, viewOf(member));
+    }
+    std::vector<Member> all;
+    all.reserve(ordered.size());
+    for (auto &[vm, member] : ordered)
+        all.push_back(std::move(member));
+    return all;
+}
+
+std::vector<Member> GossipMembership::aliveInZone(std::string_view zone) const
+{
+    const std::string name(zone);
+    std::vector<Member> alive;
+    if (!isReachable(name))
+        return alive;
+    for (const auto &[vm, member] : m_table.zone(name)) {
+        if (member.state == MemberState::Alive)
+            alive.push_back(member);
+    }
+    return alive;
+}
+
+bool GossipMembership::isReachable(const std::string &zone) const
+{
+    return zone == m_self.zone || m_heartbeats.isReachable(zone, m_timers.now());
+}
+
+Member GossipMembership::viewOf(const Member &member) const
+{
+    Member view = member;
+    if (view.state == MemberState::Alive && !isReachable(view.zone))
+        view.state = MemberState::Suspected;
+    return view;
+}
+
+std::vector<const Member *> GossipMembership::presentPeers(const std::string &zone) const
+{
+    std::vector<const Member *> present;
+    for (const auto &[vm, member] : m_table.zone(zone)) {
+        if (isPresent(member) && !isSelf(vm))
+            present.push_back(&member);
+    }
+    return present;
+}
+
+std::vector<const Member *> GossipMembership::choose(std::vector<const Member *> members,
+                                                     std::size_t count)
+{
+    const std::size_t kept = std::min(count, members.size());
+    for (std::size_t i = 0; i < kept; ++i)
+        std::swap(members[i], members[i + m_random.below(members.size() - i)]);
+    members.resize(kept);
+    return members;
+}
+
+} // namespace currantwalk
