--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -1,6 +1,8 @@
 #include "routing/dispatcher.h"
 
 #include <algorithm>
+#include <cassert>
+#include <optional>
 #include <utility>
 
 namespace currantwalk {
@@ -75,41 +77,60 @@
         schedulePass(m_timers.now() + MaxPassInterval);
 }
 
-bool Dispatcher::tryPlace(const Order &order)
+// Another tier's room goes before a refusal; what the first tier said of waiting stands otherwise.
+RoutingDecision Dispatcher::decide(const RoutingRequest &request, const Tiers &tiers, TimePoint now)
+{
+    std::optional<RoutingDecision> first;
+    for (const std::vector<const Target *> &candidates : tiers) {
+        if (candidates.empty())
+            continue;
+        const RoutingDecision decision = m_policy.decide(request, candidates, now);
+        if (decision.verdict == RoutingVerdict::Place)
+            return decision;
+        if (!first)
+            first = decision;
+    }
+    assert(first && "a decision is asked for only where there are candidates");
+    return *first;
+}
+
+static bool isEmpty(const Dispatcher::Tiers &tiers)
+{
+    return std::all_of(tiers.begin(), tiers.end(),
+                       [](const std::vector<const Target *> &tier) { return tier.empty(); });
+}
+
+void Dispatcher::tryPlace(const Order &order)
 {
     const TimePoint now = m_timers.now();
     const RoutingRequest &request = m_waiting.at(order).request;
     Placement placement;
     placement.held = std::chrono::duration_cast<Duration>(now - request.arrivedAt);
-    const std::vector<const Target *> candidates = m_candidates(request);
+    const Tiers tiers = m_candidates(request);
     const bool isTooLate = now >= request.holdUntil;
-    if (candidates.empty()) {
-        // A request that excludes targets is better told at once: its caller tries those again.
+    if (isEmpty(tiers)) {
+        // A request that excludes targets is better told at once: its call tries those again.
         if (!isTooLate && request.excluded.empty())
-            return false;
+            return;
         placement.status = makeError(ErrorCode::NoTarget, "no target can take the request");
         placement.retryAfter = NoTargetRetryAfter;
-        answer(order, std::move(placement));
-        return true;
+        return answer(order, std::move(placement));
     }
-    const RoutingDecision decision = m_policy.decide(request, candidates, now);
+    const RoutingDecision decision = decide(request, tiers, now);
     placement.reason = decision.reason;
-    placement.retryAfter = decision.retryAfter;
     if (decision.verdict == RoutingVerdict::Place) {
         placement.target = decision.target;
         m_policy.onPlaced(request, decision.target, now);
-        answer(order, std::move(placement));
-        return true;
+        return answer(order, std::move(placement));
     }
     if (decision.verdict == RoutingVerdict::Hold && !isTooLate) {
         if (decision.askAgainAt > now)
             schedulePass(decision.askAgainAt);
-        return false;
+        return;
     }
     placement.status = makeError(ErrorCode::Overloaded, "no room at any target");
     placement.retryAfter = std::max(decision.retryAfter, NoTargetRetryAfter);
     answer(order, std::move(placement));
-    return true;
 }
 
 void Dispatcher::answer(const Order &order, Placement placement)
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -32,7 +32,9 @@
 {
 public:
     using Callback = std::function<void(const Placement &)>;
-    using Candidates = std::function<std::vector<const Target *>(const RoutingRequest &)>;
+    /// Candidates in tiers, best first: a later tier is asked only where the earlier have no room.
+    using Tiers = std::vector<std::vector<const Target *>>;
+    using Candidates = std::function<Tiers(const RoutingRequest &)>;
 
     /// \a policy and \a timers must outlive the dispatcher.
     Dispatcher(RoutingPolicy &policy, Candidates candidates, TimerService &timers);
@@ -60,8 +62,8 @@
 
     void schedulePass(TimePoint when);
     void pass();
-    /// Returns whether the request has left the queue.
-    bool tryPlace(const Order &order);
+    void tryPlace(const Order &order);
+    RoutingDecision decide(const RoutingRequest &request, const Tiers &tiers, TimePoint now);
     void answer(const Order &order, Placement placement);
 
     RoutingPolicy &m_policy;
--- a/src/routing/tests/dispatchertest.cpp
+++ b/src/routing/tests/dispatchertest.cpp
@@ -46,8 +46,8 @@
     bool isTargetThere = true;
     Dispatcher dispatcher{policy,
                           [this](const RoutingRequest &) {
-                              return isTargetThere ? std::vector<const Target *>{&target}
-                                                   : std::vector<const Target *>{};
+                              return isTargetThere ? Dispatcher::Tiers{{&target}}
+                                                   : Dispatcher::Tiers{};
                           },
                           timers};
     std::vector<std::string> order;
--- a/src/standin/standin.cpp
+++ b/src/standin/standin.cpp
@@ -192,6 +192,12 @@
     }
     if (target.isLeaving)
         return replyError(exchange, makeError(ErrorCode::TargetRefused, "leaving"));
+    if (request.path == "/load") {
+        Json::Value json(Json::objectValue);
+        json["incarnation"] = 1;
+        json["leaving"] = false;
+        return replyJson(exchange, json);
+    }
     const std::string key(findHeader(request.headers, "idempotency-key").value_or(""));
     const PlainService::Answer answer =
             target.service.handle(request.method, request.path, key, request.body);
