Decide on publications alike on all nodes by the log's order

Cause: operators race, the log has no conditional append, its answers get lost and its records expire.

--- a/src/config/configstore.h
+++ b/src/config/configstore.h
@@ -1,6 +1,7 @@
 #ifndef CURRANTWALK_CONFIG_CONFIGSTORE_H
 #define CURRANTWALK_CONFIG_CONFIGSTORE_H
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -49,6 +50,7 @@
         Duration pollInterval = std::chrono::milliseconds(500);
         Duration recordLifetime = std::chrono::hours(2); ///< That the log keeps a record for.
         std::size_t keptVerdicts = 1000;
+        std::uint64_t seed = 1; ///< For jitter; must differ from node to node.
     };
 
     struct Hooks
@@ -56,9 +58,13 @@
         LogHooks log;
         /// A newer version is in force on this node.
         std::function<void(const ConfigVersion &)> onVersion;
+        /// A publication was decided on; see Publisher. May be empty.
+        std::function<void(const PublicationVerdict &)> onVerdict;
         /// Whether this node is the one that appends snapshots before records expire. May be true
         /// on several nodes: a doubled snapshot is harmless.
         std::function<bool()> isSnapshotWriter;
+        /// Replaces the rule of acceptance, so that a test can show a faulty one to be caught.
+        std::function<bool(LogOffset base, LogOffset inForce)> rule;
     };
 
     static std::unique_ptr<ConfigStore> create(const Options &options, Hooks hooks,
@@ -79,6 +85,10 @@
     virtual Json::Value encodeCurrent() const = 0;
     /// Takes a version that a peer passed on; ignored unless newer. Fails with JsonInvalid.
     virtual absl::Status onPeerVersion(const Json::Value &message) = 0;
+
+    /// Returns the number of times that another node was seen to have decided otherwise; not 0
+    /// means a defect, or daemons whose checks differ.
+    virtual std::uint64_t divergences() const = 0;
 };
 
 } // namespace currantwalk
--- a/src/config/objectcodec.cpp
+++ b/src/config/objectcodec.cpp
@@ -296,7 +296,7 @@
     return faults;
 }
 
-absl::StatusOr<ObjectSet> decodeSoundObjects(const Json::Value &value)
+absl::StatusOr<ObjectSet> decodeObjects(const Json::Value &value)
 {
     if (!value.isObject() || !value["schema"].isUInt())
         return makeError(ErrorCode::ConfigInvalid, "objects without a schema version");
@@ -306,9 +306,18 @@
     Json::Value types = value;
     types.removeMember("schema");
     ObjectSet objects;
-    std::vector<ConfigFault> faults = decodeObjectTypes(types, &objects);
-    if (faults.empty())
-        faults = checkObjects(objects);
+    const std::vector<ConfigFault> faults = decodeObjectTypes(types, &objects);
+    if (!faults.empty())
+        return makeError(ErrorCode::ConfigInvalid, summariseFaults(faults));
+    return objects;
+}
+
+absl::StatusOr<ObjectSet> decodeSoundObjects(const Json::Value &value)
+{
+    absl::StatusOr<ObjectSet> objects = decodeObjects(value);
+    if (!objects.ok())
+        return objects;
+    const std::vector<ConfigFault> faults = checkObjects(*objects);
     if (!faults.empty())
         return makeError(ErrorCode::ConfigInvalid, summariseFaults(faults));
     return objects;
--- a/src/config/objectcodec.h
+++ b/src/config/objectcodec.h
@@ -21,7 +21,10 @@
 /// A field that is wrong keeps its default.
 std::vector<ConfigFault> decodeObjectTypes(const Json::Value &types, ObjectSet *objects);
 
-/// Reads what encodeObjects() wrote, and checks it. Fails with ConfigInvalid.
+/// Reads what encodeObjects() wrote, unchecked as a whole. Fails with ConfigInvalid.
+absl::StatusOr<ObjectSet> decodeObjects(const Json::Value &value);
+
+/// Does the same and checks the set as a whole. Fails with ConfigInvalid.
 absl::StatusOr<ObjectSet> decodeSoundObjects(const Json::Value &value);
 
 } // namespace currantwalk
--- /dev/null
+++ b/src/config/tests/configrandomtest.cpp
@@ -0,0 +1,282 @@
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/virtualtimerservice.h"
+#include "config/configrecord.h"
+#include "config/configstore.h"
+#include "config/objectcodec.h"
+#include "config/publisher.h"
+#include "log/tests/fakelog.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+using AcceptanceRule = std::function<bool(LogOffset base, LogOffset inForce)>;
+
+/// What a run showed, beside the assertions inside the program.
+struct RunSummary
+{
+    std::size_t publications = 0;
+    std::size_t accepted = 0;
+    std::size_t restarts = 0;
+    std::size_t versionsGoneBack = 0;
+    std::size_t wrongVerdicts = 0; ///< Verdicts that differ from those of a reader of all records.
+    std::size_t falseAnswers = 0;  ///< Publishers that were told otherwise than the stream says.
+    std::size_t acceptedLost = 0;  ///< Answers "accepted" that are not in the chain of versions.
+    std::size_t nodesBehind = 0;   ///< At the end, after all faults have gone.
+    std::uint64_t divergences = 0;
+
+    std::size_t violations() const
+    {
+        return versionsGoneBack + wrongVerdicts + falseAnswers + acceptedLost + nodesBehind
+               + static_cast<std::size_t>(divergences);
+    }
+};
+
+/// Several nodes, publishers at each, peers that pass versions on, and faults drawn from a seed.
+class RandomRun
+{
+public:
+    RandomRun(std::uint64_t seed, AcceptanceRule rule, std::size_t faultyNodes)
+        : m_random(seed), m_log(m_timers, seed), m_rule(std::move(rule)), m_faultyNodes(faultyNodes)
+    {
+        m_log.recordLifetime = RecordLifetime;
+        for (std::size_t i = 0; i < NodeCount; ++i) {
+            m_nodes.push_back(std::make_unique<Node>());
+            m_nodes.back()->client = &m_log.addClient();
+            start(i);
+        }
+    }
+
+    RunSummary run(Duration span)
+    {
+        const TimePoint end = m_timers.now() + span;
+        while (m_timers.now() < end) {
+            step();
+            m_timers.advance(m_random.jitter(400ms));
+        }
+        heal();
+        judge();
+        return m_summary;
+    }
+
+private:
+    static constexpr std::size_t NodeCount = 12;
+    static constexpr Duration RecordLifetime = std::chrono::minutes(4);
+
+    struct Node
+    {
+        FakeLog::Client *client = nullptr;
+        RandomSource random{1};
+        bool isCutFromPeers = false;
+        bool isWriter = false;
+        LogOffset highest = 0;
+        std::unique_ptr<ConfigStore> store;
+        std::unique_ptr<Publisher> publisher;
+    };
+
+    void start(std::size_t index)
+    {
+        Node &node = *m_nodes[index];
+        node.publisher.reset();
+        node.highest = 0;
+        ConfigStore::Options options;
+        options.recordLifetime = RecordLifetime;
+        options.seed = m_random.next64();
+        ConfigStore::Hooks hooks;
+        hooks.log = node.client->hooks;
+        hooks.isSnapshotWriter = [&node] { return node.isWriter; };
+        hooks.rule = index < m_faultyNodes ? m_rule : AcceptanceRule();
+        hooks.onVersion = [this, &node](const ConfigVersion &version) {
+            m_summary.versionsGoneBack += version.version <= node.highest ? 1 : 0;
+            node.highest = version.version;
+        };
+        hooks.onVerdict = [this, &node](const PublicationVerdict &verdict) {
+            m_verdicts.push_back(verdict);
+            if (node.publisher)
+                node.publisher->onVerdict(verdict);
+        };
+        node.store = ConfigStore::create(options, std::move(hooks), m_timers);
+        node.publisher = Publisher::create(Publisher::Options(), *node.store, node.client->hooks,
+                                           m_timers, node.random);
+        node.store->start();
+    }
+
+    Node &anyNode() { return *m_nodes[m_random.below(NodeCount)]; }
+
+    void step()
+    {
+        if (m_random.chance(0.10))
+            publish(anyNode());
+        if (m_random.chance(0.5))
+            passOn(anyNode(), anyNode());
+        if (m_random.chance(0.02)) {
+            Node &node = anyNode();
+            node.client->isCut = !node.client->isCut;
+        }
+        if (m_random.chance(0.02)) {
+            Node &node = anyNode();
+            node.isCutFromPeers = !node.isCutFromPeers;
+        }
+        if (m_random.chance(0.01)) {
+            ++m_summary.restarts;
+            start(m_random.below(NodeCount));
+        }
+        if (m_random.chance(0.05)) {
+            Node &node = anyNode();
+            node.isWriter = !node.isWriter;
+        }
+        if (m_random.chance(0.02))
+            m_log.faults.isOut = m_random.chance(0.5);
+        if (m_random.chance(0.02))
+            drawFaults();
+    }
+
+    void drawFaults()
+    {
+        m_log.faults.loseAfterEffect = m_random.uniform() * 0.3;
+        m_log.faults.loseBeforeEffect = m_random.uniform() * 0.2;
+        m_log.faults.lateEffect = m_random.uniform() * 0.2;
+        m_log.faults.silentLoss = m_random.uniform();
+        m_log.faults.failRead = m_random.uniform() * 0.3;
+        m_log.faults.slowness = m_random.jitter(1s);
+    }
+
+    void passOn(Node &from, Node &to)
+    {
+        if (from.isCutFromPeers || to.isCutFromPeers)
+            return;
+        CHECK(to.store->onPeerVersion(from.store->encodeCurrent()).ok());
+    }
+
+    void publish(Node &node)
+    {
+        const LogOffset known = node.store->current() ? node.store->current()->version : 0;
+        const std::string id = "p" + std::to_string(++m_summary.publications);
+        ObjectSet objects;
+        objects.zones["z"] = ZoneObject{"z", id};
+        // Now and then the operator's base is old.
+        const LogOffset base = m_random.chance(0.1) ? m_random.below(known + 1) : known;
+        PublicationRequest request{base, "author", id, false, encodeObjects(objects)};
+        node.publisher->publish(request,
+                                [this, id](const absl::StatusOr<PublicationResult> &result) {
+                                    m_answers.emplace(id, result);
+                                });
+    }
+
+    void heal()
+    {
+        m_log.faults = FakeLog::Faults();
+        for (const auto &node : m_nodes) {
+            node->client->isCut = false;
+            node->isCutFromPeers = false;
+        }
+        // Two that hold a version write snapshots, should the last one have expired.
+        m_nodes.front()->isWriter = true;
+        m_nodes.back()->isWriter = true;
+        for (std::size_t round = 0; round < 4 * NodeCount; ++round) {
+            passOn(*m_nodes[round % NodeCount], *m_nodes[(round + 1) % NodeCount]);
+            m_timers.advance(1s);
+        }
+    }
+
+    // Reads every record that there ever was, as a reader without any fault would.
+    void judge()
+    {
+        std::map<LogOffset, bool> right;
+        std::map<std::string, LogOffset> acceptedIds;
+        std::set<std::string> appendedIds;
+        LogOffset inForce = 0;
+        LogOffset offset = 0;
+        for (const std::string &data : m_log.history(ConfigStore::StreamName)) {
+            ++offset;
+            const absl::StatusOr<ConfigRecord> record = decodeConfigRecord(data);
+            CHECK(record.ok());
+            const auto *publication = std::get_if<PublicationRecord>(&*record);
+            if (!publication)
+                continue;
+            appendedIds.insert(publication->id);
+            right[offset] = publication->base == inForce;
+            if (!right[offset])
+                continue;
+            inForce = offset;
+            acceptedIds.emplace(publication->id, offset);
+        }
+        m_summary.accepted = acceptedIds.size();
+        for (const PublicationVerdict &verdict : m_verdicts)
+            m_summary.wrongVerdicts += right.at(verdict.offset) != verdict.isAccepted ? 1 : 0;
+        for (const auto &[id, answer] : m_answers)
+            judgeAnswer(id, answer, acceptedIds, appendedIds);
+        for (const auto &node : m_nodes) {
+            const ConfigVersion *current = node->store->current();
+            m_summary.nodesBehind += !current || current->version != inForce ? 1 : 0;
+            m_summary.divergences += node->store->divergences();
+        }
+    }
+
+    void judgeAnswer(const std::string &id, const absl::StatusOr<PublicationResult> &answer,
+                     const std::map<std::string, LogOffset> &acceptedIds,
+                     const std::set<std::string> &appendedIds)
+    {
+        const auto it = acceptedIds.find(id);
+        if (answer.ok() && answer->isAccepted)
+            m_summary.acceptedLost +=
+                    it == acceptedIds.end() || it->second != answer->version ? 1 : 0;
+        else if (answer.ok())
+            m_summary.falseAnswers += it != acceptedIds.end() ? 1 : 0;
+        else if (errorCode(answer.status()) == ErrorCode::LogUnavailable)
+            m_summary.falseAnswers += appendedIds.contains(id) ? 1 : 0;
+    }
+
+    VirtualTimerService m_timers;
+    RandomSource m_random;
+    FakeLog m_log;
+    AcceptanceRule m_rule;
+    std::size_t m_faultyNodes;
+    std::vector<std::unique_ptr<Node>> m_nodes;
+    std::vector<PublicationVerdict> m_verdicts;
+    std::map<std::string, absl::StatusOr<PublicationResult>> m_answers;
+    RunSummary m_summary;
+};
+
+} // namespace
+
+TEST_GROUP(ConfigRandom){};
+
+TEST(ConfigRandom, allNodesDecideAlikeUnderAllFaults)
+{
+    std::size_t accepted = 0;
+    std::size_t refused = 0;
+    std::size_t restarts = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        const RunSummary summary = RandomRun(seed, {}, 0).run(30min);
+        CHECK_EQUAL(0U, summary.versionsGoneBack);
+        CHECK_EQUAL(0U, summary.wrongVerdicts);
+        CHECK_EQUAL(0U, summary.falseAnswers);
+        CHECK_EQUAL(0U, summary.acceptedLost);
+        CHECK_EQUAL(0U, summary.nodesBehind);
+        CHECK_EQUAL(0U, summary.divergences);
+        accepted += summary.accepted;
+        refused += summary.publications - summary.accepted;
+        restarts += summary.restarts;
+    }
+    // The runs must have met what they are about.
+    CHECK(accepted > 1000);
+    CHECK(refused > 1000);
+    CHECK(restarts > 100);
+}
+
+// Two nodes accept whatever was not made from a later version.
+TEST(ConfigRandom, faultyRuleOfAcceptanceIsCaught)
+{
+    const AcceptanceRule rule = [](LogOffset base, LogOffset inForce) { return base <= inForce; };
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+        CHECK(RandomRun(seed, rule, 2).run(30min).violations() > 0);
+}
--- a/src/log/tests/fakelog.h
+++ b/src/log/tests/fakelog.h
@@ -67,6 +67,7 @@
     LogOffset put(const std::string &name, std::string data)
     {
         Stream &stream = m_streams[name];
+        stream.all.push_back(data);
         stream.records.push_back(Kept{m_timers.now(), std::move(data)});
         return stream.oldest + stream.records.size() - 1;
     }
@@ -89,6 +90,9 @@
         return result;
     }
 
+    /// Returns all records that a stream ever had, also expired ones; the first has offset 1.
+    const std::vector<std::string> &history(const std::string &name) { return m_streams[name].all; }
+
 private:
     struct Kept
     {
@@ -100,6 +104,7 @@
     {
         LogOffset oldest = 1;
         std::deque<Kept> records;
+        std::vector<std::string> all;
     };
 
     static void dropOldest(Stream &stream)
