--- a/cmake/Slices.cmake
+++ b/cmake/Slices.cmake
@@ -13,15 +13,17 @@
     add_link_options(-fsanitize=address,undefined)
 endif()
 
-# currantwalk_slice(NAME SOURCES file... DEPENDS library...)
+# currantwalk_slice(NAME SOURCES file... DEPENDS library... [TEST_SUPPORT file...]
+#     [TEST_DEPENDS library...])
 # Adds the library currantwalk_NAME and, where tests/ holds sources, the test program NAMETests.
 function(currantwalk_slice NAME)
-    cmake_parse_arguments(SLICE "" "" "SOURCES;DEPENDS;TEST_DEPENDS" ${ARGN})
+    cmake_parse_arguments(SLICE "" "" "SOURCES;DEPENDS;TEST_SUPPORT;TEST_DEPENDS" ${ARGN})
     add_library(currantwalk_${NAME} STATIC ${SLICE_SOURCES})
     target_link_libraries(currantwalk_${NAME} PUBLIC currantwalk_options ${SLICE_DEPENDS})
     file(GLOB TEST_SOURCES CONFIGURE_DEPENDS "${CMAKE_CURRENT_SOURCE_DIR}/tests/*test.cpp")
     if(TEST_SOURCES AND NOT CURRANTWALK_FUZZ)
-        add_executable(${NAME}Tests ${TEST_SOURCES} "${CMAKE_SOURCE_DIR}/src/testing/testmain.cpp")
+        add_executable(${NAME}Tests ${TEST_SOURCES} ${SLICE_TEST_SUPPORT}
+            "${CMAKE_SOURCE_DIR}/src/testing/testmain.cpp")
         target_link_libraries(${NAME}Tests PRIVATE
             currantwalk_${NAME} ${SLICE_TEST_DEPENDS} PkgConfig::CPPUTEST)
         add_test(NAME ${NAME} COMMAND ${NAME}Tests)
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -122,9 +122,16 @@
 {
     ConfigStore::Options options;
     options.recordLifetime = m_settings.logRecordLifetime;
+    options.seed = m_random.next64();
     ConfigStore::Hooks hooks;
     hooks.log = m_platform.logHooks();
     hooks.onVersion = [this](const ConfigVersion &version) { onVersion(version); };
+    hooks.onVerdict = [this](const PublicationVerdict &verdict) {
+        logLine(LogPart::Config, LogLevel::Info,
+                "Publication " + std::to_string(verdict.offset)
+                        + (verdict.isAccepted ? " is accepted." : " is refused."));
+        m_publisher->onVerdict(verdict);
+    };
     hooks.isSnapshotWriter = [this] {
         std::vector<Member> alive = m_membership->members();
         std::erase_if(alive,
@@ -133,6 +140,8 @@
         return !best.empty() && best.front().vm.text() == m_settings.vm;
     };
     m_config = ConfigStore::create(options, std::move(hooks), m_loop.timers());
+    m_publisher =
+            Publisher::create({}, *m_config, m_platform.logHooks(), m_loop.timers(), m_random);
 }
 
 void Node::createTargets()
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -10,6 +10,7 @@
 #include "calls/claims.h"
 #include "calls/poisontracker.h"
 #include "config/configstore.h"
+#include "config/publisher.h"
 #include "daemon/callersapi.h"
 #include "daemon/canceller.h"
 #include "daemon/decisionlog.h"
@@ -66,6 +67,7 @@
     Drain &drain() { return *m_drain; }
     Membership &membership() { return *m_membership; }
     ConfigStore &config() { return *m_config; }
+    Publisher &publisher() { return *m_publisher; }
     TargetTable &targets() { return *m_targets; }
     PoisonTracker &poison() { return *m_poison; }
     Claims &claims() { return *m_claims; }
@@ -119,8 +121,9 @@
 
     std::unique_ptr<Membership> m_membership;
     std::unique_ptr<ConfigStore> m_config;
-    std::unique_ptr<ObjectIndex> m_index;
+    std::unique_ptr<Publisher> m_publisher;
     std::unique_ptr<ObjectSet> m_objects;
+    std::unique_ptr<ObjectIndex> m_index;
     std::unique_ptr<TargetTable> m_targets;
     std::unique_ptr<RoutingPolicy> m_policy;
     std::unique_ptr<Dispatcher> m_dispatcher;
--- a/src/daemon/operatorsapi.cpp
+++ b/src/daemon/operatorsapi.cpp
@@ -236,6 +236,54 @@
     return Json::Value(Json::objectValue);
 }
 
+static Json::Value encodePublicationResult(const PublicationResult &result)
+{
+    Json::Value json(Json::objectValue);
+    json["accepted"] = result.isAccepted;
+    json["version"] = Json::UInt64(result.version);
+    json["reason"] = result.reason;
+    json["winner"] = result.winner;
+    json["changes"] = encodeChanges(result.changes);
+    return json;
+}
+
+static absl::StatusOr<PublicationRequest> decodePublication(const Json::Value &params)
+{
+    const absl::StatusOr<std::uint64_t> base = unsignedMember(params, "base");
+    const absl::StatusOr<std::string> author = stringMember(params, "author");
+    const absl::StatusOr<std::string> id = stringMember(params, "publication_id");
+    for (const absl::Status &status : {base.status(), author.status(), id.status()}) {
+        if (!status.ok())
+            return status;
+    }
+    PublicationRequest request;
+    request.base = *base;
+    request.author = *author;
+    request.publicationId = *id;
+    request.objects = params["objects"];
+    if (params.isMember("recovery")) {
+        const absl::StatusOr<bool> isRecovery = boolMember(params, "recovery");
+        if (!isRecovery.ok())
+            return isRecovery.status();
+        request.isRecovery = *isRecovery;
+    }
+    return request;
+}
+
+void OperatorsApi::publish(const Json::Value &params, const RpcResponder &respondTo)
+{
+    const absl::StatusOr<PublicationRequest> request = decodePublication(params);
+    if (!request.ok())
+        return respondTo(request.status());
+    m_node.publisher().publish(*request,
+                               [respondTo](const absl::StatusOr<PublicationResult> &result) {
+                                   if (result.ok())
+                                       respondTo(encodePublicationResult(*result));
+                                   else
+                                       respondTo(result.status());
+                               });
+}
+
 static Json::Value encodeClaimAnswer(const ClaimAnswer &answer)
 {
     Json::Value json(Json::objectValue);
