Break a reference cycle in the stand-in's streams

Cause: AddressSanitizer reported 4582 bytes in 40 allocations leaked: an exchange kept a callback that kept the exchange. Change: the callback compares a plain pointer.

--- a/src/standin/engineserver.cpp
+++ b/src/standin/engineserver.cpp
@@ -160,9 +160,10 @@
     if (previous != m_streams.end())
         previous->second.exchange->abort();
     m_streams[generation] = Stream{exchange, "", false};
-    exchange->onClosed([this, exchange, generation] {
+    // The exchange keeps the callback, which must not keep the exchange.
+    exchange->onClosed([this, closed = exchange.get(), generation] {
         const auto it = m_streams.find(generation);
-        if (it == m_streams.end() || it->second.exchange != exchange)
+        if (it == m_streams.end() || it->second.exchange.get() != closed)
             return;
         m_streams.erase(it);
         m_engine.detach(generation);
