Fault matrix over the real slices

Cause: each promise must hold under each fault at each step of each kind of request. Allowed ends come from the promises alone. Cancellations are repeated until confirmed; repeated refusals to connect move an unseen generation on at once; a stream with delivered tokens outwaits a target that only looks dead.

--- a/src/calls/generationcall.h
+++ b/src/calls/generationcall.h
@@ -163,6 +163,8 @@
 
     virtual bool isSettled() const = 0;
     virtual GenerationState state() const = 0;
+    /// Returns the generation that the caller's tokens come from, once it is known.
+    virtual const std::optional<GenerationId> &generation() const = 0;
     virtual const GenerationRequest &request() const = 0;
     virtual std::uint64_t droppedAnswers() const = 0;
 };
--- a/src/calls/generationmachine.cpp
+++ b/src/calls/generationmachine.cpp
@@ -269,6 +269,7 @@
     }
     ++m_nextPosition;
     m_tries = 0;
+    m_connectFailures = 0;
     m_stalls = 0;
     m_troubleSince.reset();
     m_bufferedBytes += text.size();
--- a/src/calls/generationmachine.h
+++ b/src/calls/generationmachine.h
@@ -39,6 +39,7 @@
 
     bool isSettled() const override { return m_state == GenerationState::Settled; }
     GenerationState state() const override { return m_state; }
+    const std::optional<GenerationId> &generation() const override { return m_generation; }
     const GenerationRequest &request() const override { return m_request; }
     std::uint64_t droppedAnswers() const override { return m_droppedAnswers; }
 
@@ -69,6 +70,8 @@
     void lose(const absl::Status &status, bool isTargetLost);
     void startOver(const absl::Status &status);
     void cancelAttempt();
+    bool isAtTarget() const;
+    bool isRestartable() const;
 
     void pauseForCaller();
     bool isHeldBack() const;
@@ -107,7 +110,8 @@
     bool m_isCallerBlocked = false;
     bool m_isPaused = false; // Not reading, for the caller takes nothing.
 
-    std::uint32_t m_tries = 0; // Since the last progress.
+    std::uint32_t m_tries = 0;           // Since the last progress.
+    std::uint32_t m_connectFailures = 0; // In a row.
     std::uint32_t m_stalls = 0;
     std::optional<TimePoint> m_troubleSince;
     TimerId m_timer = NoTimer; // Of the state: backoff, stall or resume window.
--- a/src/calls/generationrecovery.cpp
+++ b/src/calls/generationrecovery.cpp
@@ -9,6 +9,9 @@
 static constexpr Duration PatienceUndelivered = std::chrono::seconds(5);
 static constexpr Duration PatienceDelivered = ResumeWindow;
 
+// Refusals to connect, in a row, after which a target is taken to be dead if another can take over.
+static constexpr std::uint32_t MaxConnectFailures = 4;
+
 // The engine answered and says that it has no such generation, nor will it have.
 static bool isGenerationForgotten(ErrorCode code)
 {
@@ -89,28 +92,50 @@
 {
     if (!m_troubleSince)
         m_troubleSince = m_timers.now();
-    if (m_timers.now() - *m_troubleSince >= patience())
+    const bool isRefusing = errorCode(status) == ErrorCode::ConnectFailed;
+    m_connectFailures = isRefusing ? m_connectFailures + 1 : 0;
+    const bool isTakenForDead = isRestartable() && m_connectFailures >= MaxConnectFailures;
+    if (isTakenForDead || m_timers.now() - *m_troubleSince >= patience())
         return lose(status, true);
     ++m_tries;
     enter(GenerationState::Recovering);
     setTimer(retryDelay(m_tries, m_random), &GenerationMachine::reconnect);
 }
 
+// A target that can't be reached looks dead from here. Where a successor can take over, waiting is
+// worse than a mistake; where the caller would only get an error, the target is tried on.
 void GenerationMachine::onTargetGone(const TargetId &target, Incarnation incarnation)
 {
-    const bool isAtTarget =
-            m_state == GenerationState::Sent || m_state == GenerationState::Streaming
-            || m_state == GenerationState::Recovering || m_state == GenerationState::Detached;
-    if (!isAtTarget || m_attempt.target != target || m_finish)
+    if (!isAtTarget() || m_attempt.target != target || m_finish)
         return;
     if (m_generation && m_generation->incarnation > incarnation)
         return;
-    if (m_state == GenerationState::Detached)
-        return fail(makeError(ErrorCode::GenerationLost, "the engine died"));
+    if (!isRestartable() || m_state == GenerationState::Detached)
+        return;
     dropExchange();
     lose(makeError(ErrorCode::GenerationLost, "the engine died"), true);
 }
 
+bool GenerationMachine::isAtTarget() const
+{
+    switch (m_state) {
+    case GenerationState::Sent:
+    case GenerationState::Streaming:
+    case GenerationState::Detached:
+        return true;
+    case GenerationState::Recovering:
+        return m_fate == AttemptFate::MayRun;
+    default:
+        return false;
+    }
+}
+
+bool GenerationMachine::isRestartable() const
+{
+    const bool isUnseen = m_delivered == 0 || m_request.lossPolicy == LossPolicy::Restart;
+    return isUnseen && !m_request.prompt.empty();
+}
+
 // What the caller has of a lost generation can't be joined to another one's tokens.
 void GenerationMachine::lose(const absl::Status &status, bool isTargetLost)
 {
@@ -119,9 +144,9 @@
         m_hooks.targetLost(lost);
     cancelAttempt();
     m_excluded.push_back(lost);
-    const bool isRestartable = m_delivered == 0 || m_request.lossPolicy == LossPolicy::Restart;
-    if (!isRestartable || m_request.prompt.empty()) {
-        flush();
+    if (!isRestartable()) {
+        if (m_request.delivery == Delivery::Streamed)
+            flush();
         return fail(makeError(ErrorCode::GenerationLost, std::string(status.message())));
     }
     startOver(status);
@@ -144,6 +169,7 @@
     m_bufferedBytes = 0;
     m_isPaused = false;
     m_tries = 0;
+    m_connectFailures = 0;
     m_stalls = 0;
     m_troubleSince.reset();
     if (m_state != GenerationState::Recovering)
--- /dev/null
+++ b/src/calls/tests/simdaemon.cpp
@@ -0,0 +1,354 @@
+#include "calls/tests/simdaemon.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace currantwalk {
+
+static constexpr std::string_view TokenKey = "the key of all nodes";
+static constexpr Duration PlacementTime = std::chrono::milliseconds(1);
+
+SimDaemon::SimDaemon(SimPlace place, Incarnation incarnation, NodeTimers &timers,
+                     DaemonSurroundings surroundings, std::uint64_t seed)
+    : m_place(std::move(place)), m_timers(timers), m_world(std::move(surroundings)), m_random(seed)
+{
+    Claims::Options options;
+    options.vm = VmId(m_place.name);
+    options.incarnation = incarnation;
+    options.shards = 4;
+    m_claims = Claims::create(options, m_world.log, m_timers);
+    m_cancellations = std::make_unique<Cancellations>(
+            [this](std::uint64_t number, const GenerationAttempt &attempt,
+                   const std::optional<GenerationId> &generation) {
+                sendCancel(number, attempt, generation);
+            },
+            m_timers, m_random);
+    Drain::Hooks hooks;
+    hooks.onPhase = [](DrainPhase) {};
+    hooks.requestsInProgress = [this] { return callsInProgress(); };
+    hooks.unsettledClaims = [this] { return unsettled(); };
+    hooks.handOver = [] {};
+    hooks.exit = [this] { m_hasExited = true; };
+    m_drain = Drain::create(Drain::Options(), std::move(hooks), m_timers);
+}
+
+SimDaemon::~SimDaemon()
+{
+    *m_isAlive = false;
+    m_timers.dropAll();
+}
+
+void SimDaemon::later(std::function<void()> action)
+{
+    m_timers.subscribeAfter(PlacementTime, std::move(action));
+}
+
+ConnectionPtr SimDaemon::connection(const SimPlace &target)
+{
+    auto connection = std::make_shared<SimConnection>();
+    connection->node = &m_timers;
+    connection->isNodeAlive = m_isAlive;
+    connection->from = m_place;
+    connection->to = target;
+    connection->onBroken = [](const absl::Status &, bool) {};
+    connection->onCrossed = [] {};
+    m_latestTarget = target.name;
+    m_latestConnection = connection;
+    return connection;
+}
+
+SimEngine &SimDaemon::engine(const TargetId &id)
+{
+    return **std::find_if(m_world.engines->begin(), m_world.engines->end(),
+                          [&id](const auto &each) { return each->id() == id; });
+}
+
+SimService &SimDaemon::service(const TargetId &id)
+{
+    return **std::find_if(m_world.services->begin(), m_world.services->end(),
+                          [&id](const auto &each) { return each->id() == id; });
+}
+
+// Probes need a few failures before a target counts as gone.
+bool SimDaemon::isSeenLive(const SimTarget &target) const
+{
+    constexpr Duration DetectionTime = std::chrono::seconds(3);
+    if (target.isLeaving)
+        return false;
+    if (!target.isAlive)
+        return m_timers.now() - target.diedAt < DetectionTime;
+    return m_world.network->cutFor(m_place.zone, target.place.zone) < DetectionTime;
+}
+
+SimTarget *SimDaemon::pick(std::vector<SimTarget *> targets, const std::vector<TargetId> &excluded)
+{
+    std::erase_if(targets, [this, &excluded](const SimTarget *target) {
+        const bool isExcluded =
+                std::find(excluded.begin(), excluded.end(), target->id()) != excluded.end();
+        return isExcluded || !isSeenLive(*target);
+    });
+    return targets.empty() ? nullptr : targets[m_random.below(targets.size())];
+}
+
+SimTarget *SimDaemon::pickEngine(const std::vector<TargetId> &excluded)
+{
+    std::vector<SimTarget *> targets;
+    for (const auto &each : *m_world.engines)
+        targets.push_back(each.get());
+    return pick(std::move(targets), excluded);
+}
+
+SimTarget *SimDaemon::pickService(const std::vector<TargetId> &excluded)
+{
+    std::vector<SimTarget *> targets;
+    for (const auto &each : *m_world.services)
+        targets.push_back(each.get());
+    return pick(std::move(targets), excluded);
+}
+
+GenerationCall *SimDaemon::generationCall(CallId id)
+{
+    const auto it = m_generating.find(id);
+    return it == m_generating.end() ? nullptr : it->second.call.get();
+}
+
+PlainCall *SimDaemon::plainCall(CallId id)
+{
+    const auto it = m_plain.find(id);
+    return it == m_plain.end() ? nullptr : it->second.call.get();
+}
+
+SimDaemon::CallId SimDaemon::generate(GenerationRequest request, std::uint32_t tokens,
+                                      CallerEvents caller)
+{
+    const CallId id = ++m_lastCall;
+    m_budget.onFreshRequest();
+    Generating &row = m_generating[id];
+    row.caller = std::move(caller);
+    row.tokens = tokens;
+    row.call = GenerationCall::create(std::move(request), generationHooks(id), m_timers, m_random);
+    row.call->start();
+    return id;
+}
+
+SimDaemon::CallId SimDaemon::resume(GenerationRequest request, const std::string &token,
+                                    std::uint32_t tokens, CallerEvents caller)
+{
+    const CallId id = ++m_lastCall;
+    const ResumeToken read = verifyResumeToken(token, TokenKey).value();
+    Generating &row = m_generating[id];
+    row.caller = std::move(caller);
+    row.tokens = tokens;
+    request.id = read.request;
+    row.call = GenerationCall::create(std::move(request), generationHooks(id), m_timers, m_random);
+    m_world.tellTakenOver(read);
+    row.call->startAt(read.point);
+    return id;
+}
+
+GenerationHooks SimDaemon::generationHooks(CallId id)
+{
+    GenerationHooks hooks;
+    hooks.place = [this, id](std::uint64_t exchange, const std::vector<TargetId> &excluded) {
+        later([this, id, exchange, excluded] {
+            GenerationCall *call = generationCall(id);
+            if (!call || call->isSettled())
+                return;
+            SimTarget *target = pickEngine(excluded);
+            if (target)
+                return call->onPlaced(exchange, target->id());
+            call->onPlacementFailed(exchange, makeError(ErrorCode::NoTarget, "no engine"),
+                                    std::chrono::seconds(1));
+        });
+        m_world.onStep(SimStep::Queued);
+    };
+    hooks.open = [this, id](std::uint64_t exchange, const GenerationAttempt &attempt) {
+        openExchange(id, exchange, attempt);
+    };
+    hooks.resume = [this, id](std::uint64_t exchange, const GenerationId &generation,
+                              std::uint32_t from) {
+        resumeExchange(id, exchange, generation, from);
+    };
+    hooks.abandon = [this, id](std::uint64_t exchange) {
+        auto &connections = m_generating.at(id).connections;
+        const auto it = connections.find(exchange);
+        if (it != connections.end())
+            it->second->isOpen = false;
+    };
+    hooks.cancel = [this](const GenerationAttempt &attempt,
+                          const std::optional<GenerationId> &generation) {
+        m_cancellations->add(attempt, generation);
+    };
+    hooks.deliver = [this, id](const GenerationId &generation, std::uint32_t position,
+                               const std::string &text) {
+        deliver(id, generation, position, text);
+    };
+    hooks.restart = [this, id] { m_generating.at(id).caller.restart(); };
+    hooks.finish = [this, id](FinishReason) { m_generating.at(id).caller.finish(); };
+    hooks.fail = [this, id](const absl::Status &status, Outcome outcome, Duration) {
+        m_generating.at(id).caller.fail(status, outcome);
+    };
+    hooks.targetLost = [](const TargetId &) {};
+    hooks.takeRetry = [this] { return m_budget.take(); };
+    hooks.askReaders = [this, id](const GenerationId &generation) {
+        m_world.askPeers(generation, [this, id](bool isRead) {
+            if (GenerationCall *call = generationCall(id))
+                call->onReadElsewhere(isRead);
+        });
+    };
+    return hooks;
+}
+
+EngineAnswers SimDaemon::engineAnswers(CallId id, std::uint64_t exchange)
+{
+    EngineAnswers answers;
+    answers.opened = [this, id, exchange](const GenerationId &generation) {
+        m_generating.at(id).call->onOpened(exchange, generation);
+        m_world.onStep(SimStep::Opened);
+    };
+    answers.token = [this, id, exchange](std::uint32_t position, const std::string &text) {
+        Generating &row = m_generating.at(id);
+        row.call->onToken(exchange, position, text);
+        if (position == 0)
+            m_world.onStep(SimStep::FirstToken);
+        if (position == row.tokens / 2)
+            m_world.onStep(SimStep::Midway);
+        if (position + 1 == row.tokens)
+            m_world.onStep(SimStep::LastToken);
+    };
+    answers.finished = [this, id, exchange](std::uint32_t tokens, FinishReason reason) {
+        m_generating.at(id).call->onFinished(exchange, tokens, reason);
+    };
+    answers.failed = [this, id, exchange](const absl::Status &status) {
+        m_generating.at(id).call->onExchangeFailed(exchange, status, true);
+    };
+    return answers;
+}
+
+void SimDaemon::openExchange(CallId id, std::uint64_t exchange, const GenerationAttempt &attempt)
+{
+    Generating &row = m_generating.at(id);
+    SimEngine &target = engine(attempt.target);
+    const ConnectionPtr opened = connection(target.place);
+    row.connections[exchange] = opened;
+    opened->onBroken = [this, id, exchange](const absl::Status &status, bool wasSent) {
+        m_generating.at(id).call->onExchangeFailed(exchange, status, wasSent);
+    };
+    opened->onCrossed = [this, id] { m_generating.at(id).call->onToken(1000000, 0, "other"); };
+    m_world.network->connect(
+            opened, [&target] { return target.isAlive; },
+            [&target, opened, attempt, tag = row.call->request().id.text(), tokens = row.tokens,
+             answers = engineAnswers(id, exchange)] {
+                target.open(opened, attempt.id, tag, tokens, answers);
+            });
+    m_world.onStep(SimStep::Sent);
+}
+
+void SimDaemon::resumeExchange(CallId id, std::uint64_t exchange, const GenerationId &generation,
+                               std::uint32_t from)
+{
+    ++m_resumes;
+    Generating &row = m_generating.at(id);
+    SimEngine &target = engine(generation.target);
+    const ConnectionPtr opened = connection(target.place);
+    row.connections[exchange] = opened;
+    opened->onBroken = [this, id, exchange](const absl::Status &status, bool wasSent) {
+        m_generating.at(id).call->onExchangeFailed(exchange, status, wasSent);
+    };
+    opened->onCrossed = [this, id] { m_generating.at(id).call->onToken(1000000, 0, "other"); };
+    m_world.network->connect(
+            opened, [&target] { return target.isAlive; },
+            [&target, opened, generation, from, answers = engineAnswers(id, exchange)] {
+                target.resume(opened, generation, from, answers);
+            });
+}
+
+void SimDaemon::deliver(CallId id, const GenerationId &generation, std::uint32_t position,
+                        const std::string &text)
+{
+    Generating &row = m_generating.at(id);
+    ResumeToken token;
+    token.request = row.call->request().id;
+    token.point = ResumePoint{generation, position + 1};
+    token.vm = VmId(m_place.name);
+    row.caller.token(generation, position, text, signResumeToken(token, TokenKey));
+}
+
+void SimDaemon::sendCancel(std::uint64_t number, const GenerationAttempt &attempt,
+                           const std::optional<GenerationId> &generation)
+{
+    SimEngine &target = engine(attempt.target);
+    const std::string latestTarget = m_latestTarget;
+    const ConnectionPtr latest = m_latestConnection;
+    const ConnectionPtr opened = connection(target.place);
+    m_latestTarget = latestTarget;
+    m_latestConnection = latest;
+    opened->onBroken = [this, number](const absl::Status &status, bool) {
+        m_cancellations->onAnswer(number, status);
+    };
+    m_world.network->connect(
+            opened, [&target] { return target.isAlive; },
+            [this, &target, opened, number, attempt, generation] {
+                const absl::Status status = target.cancel(attempt.id, generation);
+                m_world.network->answer(opened, [this, number, status] {
+                    m_cancellations->onAnswer(number, status);
+                });
+            });
+}
+
+void SimDaemon::callerGone(CallId id)
+{
+    if (GenerationCall *call = generationCall(id))
+        call->onCallerGone();
+    if (PlainCall *call = plainCall(id))
+        call->onCallerGone();
+}
+
+void SimDaemon::onTargetGone(const TargetId &target, Incarnation incarnation)
+{
+    m_cancellations->onTargetGone(target, incarnation);
+    for (auto &[id, row] : m_generating) {
+        if (!row.call->isSettled())
+            row.call->onTargetGone(target, incarnation);
+    }
+    for (auto &[id, row] : m_plain) {
+        if (!row.call->isSettled())
+            row.call->onTargetGone(target);
+    }
+}
+
+void SimDaemon::onTakenOver(const GenerationId &generation)
+{
+    for (auto &[id, row] : m_generating) {
+        if (row.call->state() == GenerationState::Detached && row.call->generation() == generation)
+            row.call->onTakenOver();
+    }
+}
+
+bool SimDaemon::isReading(const GenerationId &generation) const
+{
+    return std::any_of(m_generating.begin(), m_generating.end(), [&generation](const auto &row) {
+        const GenerationState state = row.second.call->state();
+        return state != GenerationState::Settled && state != GenerationState::Detached
+               && row.second.call->generation() == generation;
+    });
+}
+
+std::size_t SimDaemon::callsInProgress() const
+{
+    const auto isOpen = [](const auto &row) { return !row.second.call->isSettled(); };
+    return static_cast<std::size_t>(std::count_if(m_generating.begin(), m_generating.end(), isOpen)
+                                    + std::count_if(m_plain.begin(), m_plain.end(), isOpen));
+}
+
+std::uint64_t SimDaemon::droppedAnswers() const
+{
+    std::uint64_t dropped = 0;
+    for (const auto &[id, row] : m_generating)
+        dropped += row.call->droppedAnswers();
+    for (const auto &[id, row] : m_plain)
+        dropped += row.call->droppedAnswers();
+    return dropped;
+}
+
+} // namespace currantwalk
--- /dev/null
+++ b/src/calls/tests/simdaemon.h
@@ -0,0 +1,163 @@
+#ifndef CURRANTWALK_CALLS_TESTS_SIMDAEMON_H
+#define CURRANTWALK_CALLS_TESTS_SIMDAEMON_H
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "calls/cancellations.h"
+#include "calls/claims.h"
+#include "calls/generationcall.h"
+#include "calls/plaincall.h"
+#include "calls/resumetoken.h"
+#include "calls/retrybudget.h"
+#include "calls/tests/simtargets.h"
+#include "drain/drain.h"
+#include "log/tests/fakelog.h"
+
+namespace currantwalk {
+
+/// Points in a request's life at which the fault matrix acts.
+enum class SimStep {
+    Claiming,    ///< The claim was asked for.
+    ClaimStands, ///< The claim's record is in the log, its answer on the way.
+    Queued,
+    Sent,
+    Effect, ///< The plain service has run it; the answer is not yet sent.
+    Opened,
+    FirstToken,
+    Midway,
+    LastToken,
+    Recording, ///< The result is on its way to the log.
+};
+
+/// What a caller sees on its connection.
+struct CallerEvents
+{
+    std::function<void(const GenerationId &, std::uint32_t position, const std::string &text,
+                       const std::string &resumeToken)>
+            token;
+    std::function<void()> restart;
+    std::function<void()> finish;
+    std::function<void(const PlainResponse &)> response;
+    std::function<void(const absl::Status &, Outcome)> fail;
+    std::function<void()> lost; ///< The connection to the daemon broke.
+};
+
+/// What the daemon needs of the simulated world.
+struct DaemonSurroundings
+{
+    SimNetwork *network = nullptr;
+    std::vector<std::unique_ptr<SimEngine>> *engines = nullptr;
+    std::vector<std::unique_ptr<SimService>> *services = nullptr;
+    LogHooks log;
+    std::function<void(SimStep)> onStep;
+    std::function<void(const GenerationId &, std::function<void(bool)>)> askPeers;
+    std::function<void(const ResumeToken &)> tellTakenOver;
+    /// Seeded defect: sends as soon as the append is answered, before the claim is read back.
+    bool isClaimTrustedUnread = false;
+};
+
+/// One life of a daemon, made of the real slices.
+class SimDaemon
+{
+public:
+    SimDaemon(SimPlace place, Incarnation incarnation, NodeTimers &timers,
+              DaemonSurroundings surroundings, std::uint64_t seed);
+    ~SimDaemon();
+
+    SimDaemon(const SimDaemon &) = delete;
+    SimDaemon &operator=(const SimDaemon &) = delete;
+
+    using CallId = std::uint64_t;
+
+    CallId generate(GenerationRequest request, std::uint32_t tokens, CallerEvents caller);
+    CallId resume(GenerationRequest request, const std::string &token, std::uint32_t tokens,
+                  CallerEvents caller);
+    CallId callPlain(PlainRequest request, CallerEvents caller);
+    void callerGone(CallId id);
+    void onTargetGone(const TargetId &target, Incarnation incarnation);
+    void onTakenOver(const GenerationId &generation);
+    bool isReading(const GenerationId &generation) const;
+    std::size_t callsInProgress() const;
+    std::size_t unsettled() const { return m_claims->unsettled() + m_cancellations->pending(); }
+
+    Drain &drain() { return *m_drain; }
+    Claims &claims() { return *m_claims; }
+    bool hasExited() const { return m_hasExited; }
+    std::uint64_t resumes() const { return m_resumes; }
+    std::uint64_t droppedAnswers() const;
+    /// The target of the latest exchange.
+    const std::string &latestTarget() const { return m_latestTarget; }
+    const ConnectionPtr &latestConnection() const { return m_latestConnection; }
+
+private:
+    struct Generating
+    {
+        std::unique_ptr<GenerationCall> call;
+        CallerEvents caller;
+        std::uint32_t tokens = 0;
+        std::map<std::uint64_t, ConnectionPtr> connections;
+    };
+
+    struct Plain
+    {
+        std::unique_ptr<PlainCall> call;
+        CallerEvents caller;
+        ClaimRequest claim;
+        std::map<std::uint64_t, ConnectionPtr> connections;
+    };
+
+    ConnectionPtr connection(const SimPlace &target);
+    SimEngine &engine(const TargetId &id);
+    SimService &service(const TargetId &id);
+    SimTarget *pickEngine(const std::vector<TargetId> &excluded);
+    SimTarget *pickService(const std::vector<TargetId> &excluded);
+    SimTarget *pick(std::vector<SimTarget *> targets, const std::vector<TargetId> &excluded);
+    bool isSeenLive(const SimTarget &target) const;
+
+    GenerationHooks generationHooks(CallId id);
+    EngineAnswers engineAnswers(CallId id, std::uint64_t exchange);
+    void openExchange(CallId id, std::uint64_t exchange, const GenerationAttempt &attempt);
+    void resumeExchange(CallId id, std::uint64_t exchange, const GenerationId &generation,
+                        std::uint32_t from);
+    void deliver(CallId id, const GenerationId &generation, std::uint32_t position,
+                 const std::string &text);
+    void sendCancel(std::uint64_t number, const GenerationAttempt &attempt,
+                    const std::optional<GenerationId> &generation);
+
+    PlainHooks plainHooks(CallId id);
+    void sendPlain(CallId id, std::uint64_t exchange, const TargetId &target);
+    void lookUpPlain(CallId id, std::uint64_t exchange, const TargetId &target);
+    void claimPlain(CallId id);
+    std::string plainTag(const PlainRequest &request) const;
+
+    void later(std::function<void()> action);
+    GenerationCall *generationCall(CallId id);
+    PlainCall *plainCall(CallId id);
+
+    const SimPlace m_place;
+    NodeTimers &m_timers;
+    const DaemonSurroundings m_world;
+    RandomSource m_random;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+    RetryBudget m_budget{0.2, 10};
+    std::unique_ptr<Claims> m_claims;
+    std::unique_ptr<Cancellations> m_cancellations;
+    std::unique_ptr<Drain> m_drain;
+    bool m_hasExited = false;
+    CallId m_lastCall = 0;
+    std::map<CallId, Generating> m_generating;
+    std::map<CallId, Plain> m_plain;
+    std::uint64_t m_resumes = 0;
+    std::string m_latestTarget;
+    ConnectionPtr m_latestConnection;
+};
+
+} // namespace currantwalk
+
+#endif // CURRANTWALK_CALLS_TESTS_SIMDAEMON_H
--- /dev/null
+++ b/src/calls/tests/simnetwork.cpp
@@ -0,0 +1,172 @@
+#include "calls/tests/simnetwork.h"
+
+#include <algorithm>
+
+namespace currantwalk {
+
+static constexpr Duration LostAnswerCloses = std::chrono::seconds(2);
+static constexpr Duration Lateness = std::chrono::seconds(10);
+
+static absl::Status lost(std::string_view detail)
+{
+    return makeError(ErrorCode::ConnectionLost, detail);
+}
+
+void SimNetwork::tellNode(const ConnectionPtr &connection, const std::function<void()> &handler)
+{
+    if (!*connection->isNodeAlive)
+        return;
+    connection->node->run([connection, handler] {
+        if (*connection->isNodeAlive)
+            handler();
+    });
+}
+
+void SimNetwork::breakConnection(const ConnectionPtr &connection, const absl::Status &status)
+{
+    if (!connection->isOpen)
+        return;
+    connection->isOpen = false;
+    const bool wasSent =
+            connection->isRequestDelivered || connection->fault == ConnectionFault::ResetDuring;
+    connection->isNeverSent = !connection->isRequestDelivered;
+    tellNode(connection, [connection, status, wasSent] { connection->onBroken(status, wasSent); });
+}
+
+void SimNetwork::breakAll(const std::function<bool(const SimConnection &)> &isHit)
+{
+    const std::vector<std::weak_ptr<SimConnection>> all = std::move(connections);
+    connections.clear();
+    for (const std::weak_ptr<SimConnection> &weak : all) {
+        const ConnectionPtr connection = weak.lock();
+        if (!connection || !connection->isOpen)
+            continue;
+        connections.push_back(weak);
+        if (isHit(*connection))
+            breakConnection(connection, lost("the connection was reset"));
+    }
+}
+
+TimePoint SimNetwork::blockedUntil(const SimConnection &connection) const
+{
+    TimePoint until{};
+    const auto stall = m_stalls.find({connection.from.name, connection.to.name});
+    if (stall != m_stalls.end())
+        until = stall->second;
+    if (!isCut(connection.from.zone, connection.to.zone))
+        return until;
+    for (const std::string &zone : {connection.from.zone, connection.to.zone}) {
+        const auto cut = m_cuts.find(zone);
+        if (cut != m_cuts.end())
+            until = std::max(until, cut->second.until);
+    }
+    return until;
+}
+
+void SimNetwork::deliver(const ConnectionPtr &connection, TimePoint when,
+                         std::function<void()> handler)
+{
+    timers.subscribeAt(when, [this, connection, handler = std::move(handler)] {
+        const TimePoint until = blockedUntil(*connection);
+        if (until > timers.now())
+            return deliver(connection, until, handler);
+        handler();
+    });
+}
+
+void SimNetwork::connect(const ConnectionPtr &connection, const std::function<bool()> &isListening,
+                         std::function<void()> handler)
+{
+    connection->fault = drawFault();
+    ++faultCounts[connection->fault];
+    connections.push_back(connection);
+    const bool isReset = connection->fault == ConnectionFault::ResetBefore
+                         || connection->fault == ConnectionFault::ResetDuring;
+    if (isReset || isCut(connection->from.zone, connection->to.zone)) {
+        const Duration wait = isReset ? OneWay : ConnectTimeout;
+        const ErrorCode code = connection->fault == ConnectionFault::ResetDuring
+                                       ? ErrorCode::ConnectionLost
+                                       : ErrorCode::ConnectFailed;
+        timers.subscribeAfter(wait, [this, connection, code] {
+            breakConnection(connection, makeError(code, "no connection"));
+        });
+        return;
+    }
+    deliver(connection, timers.now() + OneWay, [this, connection, isListening, handler] {
+        if (connection->isNeverSent)
+            return;
+        if (!isListening())
+            return breakConnection(connection, makeError(ErrorCode::ConnectFailed, "refused"));
+        connection->isRequestDelivered = true;
+        handler();
+        if (connection->fault == ConnectionFault::ResetAfter)
+            breakConnection(connection, lost("reset after the write"));
+        if (connection->fault == ConnectionFault::LoseAnswer)
+            timers.subscribeAfter(LostAnswerCloses, [this, connection] {
+                breakConnection(connection, lost("closed without an answer"));
+            });
+    });
+    // A request that a stall holds back may have left the node.
+    timers.subscribeAfter(OneWay, [connection] { connection->isRequestDelivered = true; });
+}
+
+void SimNetwork::answer(const ConnectionPtr &connection, std::function<void()> handler)
+{
+    if (connection->fault == ConnectionFault::LoseAnswer)
+        return;
+    const bool isLate = connection->fault == ConnectionFault::LateAnswer;
+    const TimePoint when = timers.now() + OneWay + (isLate ? Lateness : Duration(0));
+    deliver(connection, when, [this, connection, handler = std::move(handler)] {
+        if (!connection->isOpen)
+            return;
+        if (connection->fault == ConnectionFault::Truncate)
+            return breakConnection(connection, makeError(ErrorCode::TargetProtocol, "cut short"));
+        if (connection->fault == ConnectionFault::CrossAnswer)
+            tellNode(connection, connection->onCrossed);
+        tellNode(connection, handler);
+        if (connection->fault == ConnectionFault::DoubleAnswer)
+            tellNode(connection, handler);
+    });
+}
+
+void SimNetwork::stallLink(const std::string &node, const std::string &target, Duration span)
+{
+    m_stalls[{node, target}] = timers.now() + span;
+}
+
+void SimNetwork::cutZone(const std::string &zone, Duration span)
+{
+    m_cuts[zone] = Cut{timers.now(), timers.now() + span};
+    timers.subscribeAfter(SilenceTimeout, [this, zone] {
+        breakAll([this, &zone](const SimConnection &connection) {
+            const bool isAcross = connection.from.zone == zone || connection.to.zone == zone;
+            return isAcross && cutFor(connection.from.zone, connection.to.zone) >= SilenceTimeout;
+        });
+    });
+}
+
+bool SimNetwork::isCut(const std::string &zone, const std::string &other) const
+{
+    if (zone == other)
+        return false;
+    const auto isCutOff = [this](const std::string &name) {
+        const auto cut = m_cuts.find(name);
+        return cut != m_cuts.end() && cut->second.until > timers.now();
+    };
+    return isCutOff(zone) || isCutOff(other);
+}
+
+Duration SimNetwork::cutFor(const std::string &zone, const std::string &other) const
+{
+    if (!isCut(zone, other))
+        return Duration(0);
+    Duration longest{0};
+    for (const std::string &name : {zone, other}) {
+        const auto cut = m_cuts.find(name);
+        if (cut != m_cuts.end() && cut->second.until > timers.now())
+            longest = std::max(longest, timers.now() - cut->second.since);
+    }
+    return longest;
+}
+
+} // namespace currantwalk
--- /dev/null
+++ b/src/calls/tests/simtargets.h
@@ -0,0 +1,125 @@
+#ifndef CURRANTWALK_CALLS_TESTS_SIMTARGETS_H
+#define CURRANTWALK_CALLS_TESTS_SIMTARGETS_H
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "calls/generationcall.h"
+#include "calls/plaincall.h"
+#include "calls/tests/simnetwork.h"
+
+namespace currantwalk {
+
+/// What both kinds of simulated targets have.
+struct SimTarget
+{
+    SimPlace place;
+    Incarnation incarnation = 1;
+    bool isAlive = true;
+    bool isLeaving = false;
+    std::uint32_t deaths = 0;
+    TimePoint diedAt{};
+
+    TargetId id() const { return TargetId(place.name); }
+};
+
+/// What a node gets from an engine.
+struct EngineAnswers
+{
+    std::function<void(const GenerationId &)> opened;
+    std::function<void(std::uint32_t, std::string)> token;
+    std::function<void(std::uint32_t, FinishReason)> finished;
+    std::function<void(const absl::Status &)> failed;
+};
+
+/// An engine that runs generations, idempotently by attempt id.
+class SimEngine : public SimTarget
+{
+public:
+    static constexpr Duration TokenInterval = std::chrono::milliseconds(20);
+    static constexpr Duration FirstTokenDelay = std::chrono::milliseconds(60);
+
+    explicit SimEngine(SimNetwork &network) : m_network(network) {}
+
+    /// \a tag names the request in the text of its tokens.
+    void open(const ConnectionPtr &connection, const std::string &attempt, const std::string &tag,
+              std::uint32_t tokens, const EngineAnswers &answers);
+    void resume(const ConnectionPtr &connection, const GenerationId &generation, std::uint32_t from,
+                const EngineAnswers &answers);
+    absl::Status cancel(const std::string &attempt, const std::optional<GenerationId> &generation);
+    void kill();
+    void restart();
+
+    std::uint64_t runningGenerations() const;
+    /// Counts generations that were ever begun for a request.
+    std::map<std::string, std::uint32_t> begun;
+    std::uint64_t producedTokens = 0;
+    double refusalChance = 0;
+
+private:
+    struct Reader
+    {
+        ConnectionPtr connection;
+        EngineAnswers answers;
+    };
+
+    struct Generation
+    {
+        std::string attempt;
+        std::string tag;
+        std::uint32_t tokens = 0;
+        std::uint32_t produced = 0;
+        bool isCancelled = false;
+        std::vector<Reader> readers;
+    };
+
+    void attach(std::uint64_t number, std::uint32_t from, const Reader &reader);
+    void scheduleToken(std::uint64_t number, Duration delay);
+    void produce(std::uint64_t number);
+    std::string text(const Generation &generation, std::uint64_t number,
+                     std::uint32_t position) const;
+    void sendEnd(const Generation &generation, const Reader &reader);
+
+    SimNetwork &m_network;
+    std::map<std::uint64_t, Generation> m_generations;
+    std::uint64_t m_lastNumber = 0;
+};
+
+/// A plain service. Those that check keys run each key once.
+class SimService : public SimTarget
+{
+public:
+    static constexpr Duration WorkTime = std::chrono::milliseconds(30);
+
+    SimService(SimNetwork &network, bool checksKeys) : m_network(network), m_checksKeys(checksKeys)
+    {
+    }
+
+    static constexpr std::string_view KeyPrefix = "key-";
+
+    /// \a tag is the key of the request, which begins with KeyPrefix, or else the request's id.
+    void call(const ConnectionPtr &connection, const std::string &tag,
+              const std::function<void(const PlainResponse &)> &answer);
+    std::optional<PlainResponse> stored(const std::string &tag) const;
+    void kill();
+    void restart();
+
+    std::function<void(const std::string &tag)> onEffect = [](const std::string &) {};
+
+private:
+    void work(const ConnectionPtr &connection, const std::string &tag,
+              const std::function<void(const PlainResponse &)> &answer);
+
+    SimNetwork &m_network;
+    bool m_checksKeys;
+    std::map<std::string, PlainResponse> m_stored; // Outlives the process, as a database does.
+};
+
+} // namespace currantwalk
+
+#endif // CURRANTWALK_CALLS_TESTS_SIMTARGETS_H
--- /dev/null
+++ b/src/calls/tests/simworld.cpp
@@ -0,0 +1,279 @@
+#include "calls/tests/simworld.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace currantwalk {
+
+static constexpr Duration DetectionTime = std::chrono::seconds(3);
+static constexpr Duration PeerDelay = std::chrono::milliseconds(2);
+
+SimWorld::SimWorld(const Options &given)
+    : options(given), random(given.seed), network(timers, random), log(timers, given.seed + 1)
+{
+    for (const char *zone : {"a", "b", "c"}) {
+        for (std::size_t i = 0; i < options.nodesPerZone; ++i) {
+            nodes.push_back(std::make_unique<SimNode>(timers));
+            nodes.back()->place = {"vm-" + std::string(zone) + std::to_string(i), zone};
+            nodes.back()->log = &log.addClient();
+        }
+        for (std::size_t i = 0; i < options.enginesPerZone; ++i) {
+            engines.push_back(std::make_unique<SimEngine>(network));
+            engines.back()->place = {"engine-" + std::string(zone) + std::to_string(i), zone};
+        }
+        for (std::size_t i = 0; i < options.servicesPerZone; ++i) {
+            services.push_back(std::make_unique<SimService>(network, options.servicesCheckKeys));
+            services.back()->place = {"service-" + std::string(zone) + std::to_string(i), zone};
+            services.back()->onEffect = [this](const std::string &tag) {
+                ++effects[tag];
+                onStep(0, SimStep::Effect);
+            };
+        }
+    }
+    for (std::size_t i = 0; i < nodes.size(); ++i)
+        startDaemon(i);
+}
+
+SimWorld::~SimWorld() = default;
+
+void SimWorld::later(Duration delay, std::function<void()> action)
+{
+    timers.subscribeAfter(delay, std::move(action));
+}
+
+void SimWorld::violate(const std::string &what)
+{
+    violations.push_back(what);
+}
+
+void SimWorld::startDaemon(std::size_t number)
+{
+    SimNode &node = *nodes[number];
+    if (node.daemon)
+        return;
+    ++node.incarnation;
+    node.life = std::make_shared<bool>(true);
+    node.daemon = std::make_unique<SimDaemon>(node.place, node.incarnation, node.timers,
+                                              surroundings(number), random.next64());
+}
+
+void SimWorld::killDaemon(std::size_t number)
+{
+    SimNode &node = *nodes[number];
+    if (!node.daemon)
+        return;
+    *node.life = false;
+    node.daemon.reset();
+}
+
+void SimWorld::pauseDaemon(std::size_t number, Duration span)
+{
+    NodeTimers &paused = nodes[number]->timers;
+    if (paused.isPaused())
+        return;
+    paused.pause();
+    later(span, [&paused] { paused.resume(); });
+}
+
+// The log's answers wait while the node is paused, and find nothing once it is dead.
+LogHooks SimWorld::logHooks(std::size_t number)
+{
+    SimNode &node = *nodes[number];
+    const std::shared_ptr<bool> life = node.life;
+    const auto toNode = [&node, life](const std::function<void()> &action) {
+        node.timers.run([life, action] {
+            if (*life)
+                action();
+        });
+    };
+    LogHooks hooks;
+    hooks.append = [this, number, &node, toNode](const std::string &stream,
+                                                 std::vector<std::string> records,
+                                                 const LogHooks::AppendCallback &callback) {
+        const bool isClaim = records.front().rfind("[\"c\"", 0) == 0;
+        node.log->hooks.append(stream, std::move(records),
+                               [this, number, isClaim, toNode,
+                                callback](const absl::StatusOr<std::vector<LogOffset>> &offsets) {
+                                   if (isClaim && offsets.ok())
+                                       onStep(number, SimStep::ClaimStands);
+                                   later(std::chrono::microseconds(1), [toNode, callback, offsets] {
+                                       toNode([callback, offsets] { callback(offsets); });
+                                   });
+                               });
+    };
+    hooks.read = [&node, toNode](const std::string &stream, LogOffset from, std::size_t limit,
+                                 const LogHooks::ReadCallback &callback) {
+        node.log->hooks.read(stream, from, limit,
+                             [toNode, callback](const absl::StatusOr<LogPage> &page) {
+                                 toNode([callback, page] { callback(page); });
+                             });
+    };
+    return hooks;
+}
+
+DaemonSurroundings SimWorld::surroundings(std::size_t number)
+{
+    DaemonSurroundings result;
+    result.network = &network;
+    result.engines = &engines;
+    result.services = &services;
+    result.log = logHooks(number);
+    result.onStep = [this, number](SimStep step) { onStep(number, step); };
+    result.askPeers = [this, number](const GenerationId &generation,
+                                     const std::function<void(bool)> &answer) {
+        askPeers(number, generation, answer);
+    };
+    result.tellTakenOver = [this, number](const ResumeToken &token) {
+        tellTakenOver(number, token, 0);
+    };
+    result.isClaimTrustedUnread = options.isClaimTrustedUnread;
+    return result;
+}
+
+bool SimWorld::isReachable(std::size_t from, std::size_t to) const
+{
+    return timers.now() >= m_peersCutUntil
+           && !network.isCut(nodes[from]->place.zone, nodes[to]->place.zone);
+}
+
+// A peer that is cut off may have taken the generation over, so its silence is no answer.
+void SimWorld::askPeers(std::size_t number, const GenerationId &generation,
+                        const std::function<void(bool)> &answer)
+{
+    later(PeerDelay, [this, number, generation, answer, life = nodes[number]->life] {
+        bool isRead = false;
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            const bool isAlive = nodes[i]->daemon != nullptr;
+            if (isAlive && (!isReachable(number, i) || nodes[i]->timers.isPaused()))
+                return;
+            isRead = isRead || (isAlive && nodes[i]->daemon->isReading(generation));
+        }
+        nodes[number]->timers.run([life, answer, isRead] {
+            if (*life)
+                answer(isRead);
+        });
+    });
+}
+
+void SimWorld::tellTakenOver(std::size_t number, const ResumeToken &token, std::uint32_t tries)
+{
+    constexpr std::uint32_t MaxTries = 60;
+    const auto it = std::find_if(nodes.begin(), nodes.end(), [&token](const auto &node) {
+        return node->place.name == token.vm.text();
+    });
+    SimNode &writer = **it;
+    const auto index = static_cast<std::size_t>(it - nodes.begin());
+    if (!writer.daemon || tries > MaxTries)
+        return;
+    if (!isReachable(number, index)) {
+        later(std::chrono::seconds(1),
+              [this, number, token, tries] { tellTakenOver(number, token, tries + 1); });
+        return;
+    }
+    later(PeerDelay, [&writer, token, life = writer.life] {
+        writer.timers.run([&writer, token, life] {
+            if (*life)
+                writer.daemon->onTakenOver(token.point.generation);
+        });
+    });
+}
+
+SimTarget *SimWorld::findTarget(const std::string &name)
+{
+    for (const auto &engine : engines) {
+        if (engine->place.name == name)
+            return engine.get();
+    }
+    for (const auto &service : services) {
+        if (service->place.name == name)
+            return service.get();
+    }
+    return nullptr;
+}
+
+// Nodes that can't reach a target for as long as it takes to detect a death take it for dead.
+void SimWorld::announceGone(const std::string &target, Incarnation incarnation,
+                            const SimPlace &place)
+{
+    later(DetectionTime, [this, target, incarnation, place] {
+        const SimTarget *found = findTarget(target);
+        const bool isDead = !found->isAlive || found->incarnation > incarnation;
+        for (const auto &node : nodes) {
+            if (!node->daemon)
+                continue;
+            const bool isUnseen = network.cutFor(node->place.zone, place.zone) >= DetectionTime;
+            if (!isDead && !isUnseen)
+                continue;
+            node->timers.run([&node = *node, target, incarnation, life = node->life] {
+                if (*life)
+                    node.daemon->onTargetGone(TargetId(target), incarnation);
+            });
+        }
+    });
+}
+
+void SimWorld::killTarget(const std::string &name, Duration restartAfter)
+{
+    SimTarget *target = findTarget(name);
+    if (!target || !target->isAlive)
+        return;
+    const auto engine = std::find_if(engines.begin(), engines.end(),
+                                     [target](const auto &each) { return each.get() == target; });
+    const auto service = std::find_if(services.begin(), services.end(),
+                                      [target](const auto &each) { return each.get() == target; });
+    if (engine != engines.end())
+        (*engine)->kill();
+    else
+        (*service)->kill();
+    announceGone(name, target->incarnation, target->place);
+    later(restartAfter, [this, engine, service] {
+        if (engine != engines.end())
+            (*engine)->restart();
+        else
+            (*service)->restart();
+    });
+}
+
+void SimWorld::reclaimTarget(const std::string &name, Duration notice, Duration restartAfter)
+{
+    SimTarget *target = findTarget(name);
+    if (!target || !target->isAlive || target->isLeaving)
+        return;
+    target->isLeaving = true;
+    later(notice, [this, name, restartAfter] { killTarget(name, restartAfter); });
+}
+
+void SimWorld::cutZone(const std::string &zone, Duration span)
+{
+    network.cutZone(zone, span);
+    for (const auto &node : nodes) {
+        if (node->place.zone != zone)
+            continue;
+        node->log->isCut = true;
+        later(span, [&node = *node] { node.log->isCut = false; });
+    }
+    for (const auto &engine : engines)
+        announceGone(engine->place.name, engine->incarnation, engine->place);
+    for (const auto &service : services)
+        announceGone(service->place.name, service->incarnation, service->place);
+}
+
+std::uint64_t SimWorld::begunGenerations(const std::string &tag) const
+{
+    std::uint64_t begun = 0;
+    for (const auto &engine : engines) {
+        const auto it = engine->begun.find(tag);
+        begun += it == engine->begun.end() ? 0 : it->second;
+    }
+    return begun;
+}
+
+std::uint64_t SimWorld::runningGenerations() const
+{
+    std::uint64_t running = 0;
+    for (const auto &engine : engines)
+        running += engine->runningGenerations();
+    return running;
+}
+
+} // namespace currantwalk
