--- a/src/calls/tests/simcaller.cpp
+++ b/src/calls/tests/simcaller.cpp
@@ -162,12 +162,31 @@
     if (m_generation && *m_generation != generation)
         violate("tokens of two generations are mixed");
     m_generation = generation;
-    if (m_received == 0)
+    if (m_received == 0) {
         m_firstTokenAt = m_world.timers.now();
+        block();
+    }
     ++m_received;
     m_resumeToken = resumeToken;
 }
 
+void SimCaller::block()
+{
+    if (m_options.blocksFor == Duration(0))
+        return;
+    const auto tell = [this, session = m_session, life = m_life, call = m_call,
+                       node = m_node](bool isBlocked) {
+        SimNode &entry = *m_world.nodes[node];
+        entry.timers.run([&entry, life, call, isBlocked] {
+            if (*life)
+                entry.daemon->callerBlocked(call, isBlocked);
+        });
+    };
+    ++m_world.counts["slow callers"];
+    m_world.later(Duration(0), [tell] { tell(true); });
+    m_world.later(m_options.blocksFor, [tell] { tell(false); });
+}
+
 void SimCaller::onRestart()
 {
     if (m_options.lossPolicy != LossPolicy::Restart)
@@ -265,19 +284,35 @@
     });
 }
 
+void SimCaller::tellGone()
+{
+    SimNode &entry = *m_world.nodes[m_node];
+    if (!m_life || !*m_life)
+        return;
+    entry.timers.run([&entry, call = m_call, life = m_life] {
+        if (*life)
+            entry.daemon->callerGone(call);
+    });
+}
+
 void SimCaller::leave()
 {
     ++m_session;
-    SimNode &entry = *m_world.nodes[m_node];
-    if (m_life && *m_life)
-        entry.timers.run([&entry, call = m_call, life = m_life] {
-            if (*life)
-                entry.daemon->callerGone(call);
-        });
+    m_hasLeft = true;
+    tellGone();
     if (m_end == SimEnd::Open)
         finish(SimEnd::Unknown);
 }
 
+void SimCaller::reconnect()
+{
+    if (m_end != SimEnd::Open || !m_life)
+        return;
+    ++m_session;
+    tellGone();
+    onLost();
+}
+
 void SimCaller::finish(SimEnd end)
 {
     m_end = end;
--- a/src/calls/tests/simcaller.h
+++ b/src/calls/tests/simcaller.h
@@ -39,6 +39,7 @@
         LossPolicy lossPolicy = LossPolicy::End;
         Duration deadline = std::chrono::seconds(90);
         std::uint32_t maxResubmissions = 4;
+        Duration blocksFor{0}; ///< Takes nothing for so long after its first token.
     };
 
     SimCaller(SimWorld &world, Options options);
@@ -46,10 +47,13 @@
     void submit(std::size_t node);
     /// Closes the caller's connection for good.
     void leave();
+    /// Loses the caller's connection; it comes back through another entry VM.
+    void reconnect();
     /// Checks what must hold once all is quiet.
     void checkAtRest();
 
     SimEnd end() const { return m_end; }
+    bool hasLeft() const { return m_hasLeft; }
     ErrorCode lastError() const { return m_lastError; }
     const Options &options() const { return m_options; }
     std::uint32_t submissions() const { return m_submissions; }
@@ -70,6 +74,8 @@
     void onFail(const absl::Status &status, Outcome outcome);
     void onLost();
     void watch();
+    void tellGone();
+    void block();
     void comeBack();
     bool isGeneration() const;
     bool mayResubmit() const;
@@ -89,6 +95,7 @@
     std::optional<GenerationId> m_generation;
     std::uint32_t m_received = 0;
     std::string m_resumeToken;
+    bool m_hasLeft = false;
     SimEnd m_end = SimEnd::Open;
     ErrorCode m_lastError = ErrorCode::Internal;
     std::vector<std::string> m_tagsNotRun;
--- a/src/calls/tests/simdaemon.cpp
+++ b/src/calls/tests/simdaemon.cpp
@@ -304,6 +304,12 @@
         call->onCallerGone();
 }
 
+void SimDaemon::callerBlocked(CallId id, bool isBlocked)
+{
+    if (GenerationCall *call = generationCall(id))
+        call->onCallerBlocked(isBlocked);
+}
+
 void SimDaemon::onTargetGone(const TargetId &target, Incarnation incarnation)
 {
     m_cancellations->onTargetGone(target, incarnation);
--- a/src/calls/tests/simdaemon.h
+++ b/src/calls/tests/simdaemon.h
@@ -80,6 +80,7 @@
                   CallerEvents caller);
     CallId callPlain(PlainRequest request, CallerEvents caller);
     void callerGone(CallId id);
+    void callerBlocked(CallId id, bool isBlocked);
     void onTargetGone(const TargetId &target, Incarnation incarnation);
     void onTakenOver(const GenerationId &generation);
     bool isReading(const GenerationId &generation) const;
@@ -87,7 +88,7 @@
     std::size_t unsettled() const { return m_claims->unsettled() + m_cancellations->pending(); }
 
     Drain &drain() { return *m_drain; }
-    Claims &claims() { return *m_claims; }
+    const Claims &claims() const { return *m_claims; }
     bool hasExited() const { return m_hasExited; }
     std::uint64_t resumes() const { return m_resumes; }
     std::uint64_t droppedAnswers() const;
