--- a/src/net/fetcher.cpp
+++ b/src/net/fetcher.cpp
@@ -10,7 +10,7 @@
     FetchResult result;
     Callback callback;
     TimerId timer = NoTimer;
-    bool isTooLarge = false;
+    bool hasEnded = false; ///< The callback is due in the loop's next round.
 };
 
 Fetcher::Fetcher(HttpClient &client, TimerService &timers, std::size_t maxBodyBytes)
@@ -38,11 +38,10 @@
     HttpCallHooks hooks;
     hooks.onHead = [fetch](const HttpResponseHead &head) { fetch->result.response.head = head; };
     hooks.onBody = [this, id, fetch](std::string_view part) {
-        if (fetch->isTooLarge)
+        if (fetch->hasEnded)
             return;
         fetch->result.response.body.append(part);
-        fetch->isTooLarge = fetch->result.response.body.size() > m_maxBodyBytes;
-        if (fetch->isTooLarge)
+        if (fetch->result.response.body.size() > m_maxBodyBytes)
             end(id, makeError(ErrorCode::TargetProtocol, "the answer is too large"));
     };
     hooks.onEnd = [this, id](const absl::Status &status) { end(id, status); };
@@ -59,22 +58,29 @@
     m_fetches.erase(it);
 }
 
-// The exchange is destroyed from the timer service, not from within its own callback.
+// The exchange is destroyed from the timer service, not from within its own callback. Until then
+// the fetch can still be abandoned.
 void Fetcher::end(FetchId id, absl::Status status)
 {
     const auto it = m_fetches.find(id);
-    if (it == m_fetches.end())
+    if (it == m_fetches.end() || it->second->hasEnded)
         return;
-    std::shared_ptr<Fetch> fetch = std::move(it->second);
-    m_fetches.erase(it);
-    m_timers.cancel(fetch->timer);
-    fetch->result.status = std::move(status);
-    if (fetch->call)
-        fetch->result.progress = fetch->call->progress();
-    m_timers.subscribeAfter(Duration(0), [fetch] {
-        fetch->call.reset();
-        fetch->callback(std::move(fetch->result));
-    });
+    Fetch &fetch = *it->second;
+    fetch.hasEnded = true;
+    fetch.result.status = std::move(status);
+    if (fetch.call)
+        fetch.result.progress = fetch.call->progress();
+    m_timers.cancel(fetch.timer);
+    fetch.timer = m_timers.subscribeAfter(Duration(0), [this, id] { deliver(id); });
+}
+
+void Fetcher::deliver(FetchId id)
+{
+    auto node = m_fetches.extract(id);
+    Fetch &fetch = *node.mapped();
+    fetch.call.reset();
+    // The callback may destroy this fetcher.
+    fetch.callback(std::move(fetch.result));
 }
 
 } // namespace currantwalk
--- a/src/net/fetcher.h
+++ b/src/net/fetcher.h
@@ -47,6 +47,7 @@
     struct Fetch;
 
     void end(FetchId id, absl::Status status);
+    void deliver(FetchId id);
 
     HttpClient &m_client;
     TimerService &m_timers;
--- a/src/net/tests/fetchertest.cpp
+++ b/src/net/tests/fetchertest.cpp
@@ -85,3 +85,24 @@
     timers.advance(5s);
     CHECK(results.empty());
 }
+
+TEST(Fetcher, fetchAbandonedBeforeItsCallbackIsSilent)
+{
+    const FetchId id = fetch();
+    client.calls[0].onEnd(absl::OkStatus());
+    fetcher.abandon(id);
+    timers.advance(5s);
+    CHECK(results.empty());
+    CHECK_EQUAL(0U, timers.pending());
+}
+
+TEST(Fetcher, destructionSilencesAllFetches)
+{
+    auto shortLived = std::make_unique<Fetcher>(client, timers, 8);
+    shortLived->fetch({}, {}, 1s,
+                      [this](FetchResult result) { results.push_back(std::move(result)); });
+    client.calls[0].onEnd(absl::OkStatus());
+    shortLived.reset();
+    timers.advance(5s);
+    CHECK(results.empty());
+}
