--- a/src/net/h2ocall.cpp
+++ b/src/net/h2ocall.cpp
@@ -94,7 +94,7 @@
                 [this] { fail(makeError(ErrorCode::ConnectFailed, "timeout")); });
     ++m_pool.active;
     m_isStarting = true;
-    h2o_http1client_connect_with_pool(&m_client, this, &m_context->native, &m_pool.native,
+    h2o_http1client_connect_with_pool(&m_client, this, &m_pool.client, &m_pool.native,
                                       &ClientExchange::onConnect);
     m_isStarting = false;
 }
--- a/src/net/h2ocall.h
+++ b/src/net/h2ocall.h
@@ -6,6 +6,7 @@
 
 #include "net/h2oapi.h"
 #include "net/http.h"
+#include "net/tlscontext.h"
 
 namespace currantwalk {
 
@@ -15,6 +16,8 @@
 struct ClientPool
 {
     h2o_socketpool_t native{};
+    h2o_http1client_ctx_t client{};
+    std::unique_ptr<TlsContext> tls;
     std::size_t active = 0; ///< Exchanges that the library works on.
 };
 
@@ -22,7 +25,6 @@
 struct ClientContext
 {
     TimerService &timers;
-    h2o_http1client_ctx_t native{};
     std::size_t maxHeadBytes = 0;
     std::size_t maxIdleConnections = 0; ///< For each endpoint.
     std::unordered_set<ClientExchange *> exchanges;
--- a/src/net/h2oclient.cpp
+++ b/src/net/h2oclient.cpp
@@ -22,16 +22,13 @@
     if (!tls.ok())
         return tls.status();
     client->m_tls = std::move(*tls);
-    client->m_context->native.ssl_ctx = client->m_tls->native();
     return client;
 }
 
 H2oClient::H2oClient(h2o_loop_t *loop, TimerService &timers, const EventLoop::Options &options)
-    : m_loop(loop), m_context(new ClientContext{timers, {}, 0, 0, {}})
+    : m_loop(loop), m_context(new ClientContext{timers, 0, 0, {}})
 {
     h2o_timeout_init(m_loop, &m_ioTimeout, LibraryTimeout.count());
-    m_context->native.loop = m_loop;
-    m_context->native.io_timeout = &m_ioTimeout;
     m_context->maxHeadBytes = options.maxHeadBytes;
     m_context->maxIdleConnections = options.maxIdleConnectionsPerEndpoint;
 }
@@ -49,16 +46,16 @@
 std::unique_ptr<HttpCall> H2oClient::send(const HttpCallOptions &options, HttpRequest request,
                                           HttpCallHooks hooks)
 {
-    ClientPool *pool = poolFor(options);
-    const bool isRefused = !pool || (options.useTls && !m_tls);
-    auto exchange = std::make_shared<ClientExchange>(m_context, isRefused ? m_refused : *pool,
-                                                     options, std::move(request), std::move(hooks));
-    if (!pool)
-        exchange->refuse(makeError(ErrorCode::ConnectFailed, "the endpoint is no IP number"));
-    else if (isRefused)
+    const bool lacksTls = options.useTls && !m_tls;
+    ClientPool *pool = lacksTls ? nullptr : poolFor(options);
+    auto exchange = std::make_shared<ClientExchange>(m_context, pool ? *pool : m_refused, options,
+                                                     std::move(request), std::move(hooks));
+    if (pool)
+        exchange->start();
+    else if (lacksTls)
         exchange->refuse(makeError(ErrorCode::ConnectFailed, "TLS is not set up for the client"));
     else
-        exchange->start();
+        exchange->refuse(makeError(ErrorCode::ConnectFailed, "the endpoint is no IP number"));
     return std::make_unique<H2oCall>(std::move(exchange));
 }
 
@@ -74,6 +71,12 @@
     if (m_pools.size() >= MaxUnusedPools)
         dropUnusedPools();
     auto pool = std::make_unique<ClientPool>();
+    pool->client.loop = m_loop;
+    pool->client.io_timeout = &m_ioTimeout;
+    if (options.useTls) {
+        pool->tls = m_tls->forServerAt(options.endpoint.address);
+        pool->client.ssl_ctx = pool->tls->native();
+    }
     h2o_socketpool_init_by_address(&pool->native, address->data(), address->size(),
                                    options.useTls ? 1 : 0, SIZE_MAX);
     h2o_socketpool_set_timeout(&pool->native, m_loop, IdleConnectionLifetime.count());
--- a/src/net/tlscontext.cpp
+++ b/src/net/tlscontext.cpp
@@ -5,6 +5,7 @@
 
 #include <openssl/err.h>
 #include <openssl/ssl.h>
+#include <openssl/x509v3.h>
 
 namespace currantwalk {
 
@@ -79,6 +80,27 @@
     return context;
 }
 
+// The library of the HTTP client compares no names for endpoints given by number, so the check is
+// part of the chain's verification, which needs a context for each address.
+std::unique_ptr<TlsContext> TlsContext::forServerAt(const std::string &address) const
+{
+    std::unique_ptr<TlsContext> copy(new TlsContext(SSL_CTX_new(TLS_client_method())));
+    SSL_CTX *native = copy->native();
+    assert(native && "the library allocates a context or ends the program");
+    SSL_CTX_set_min_proto_version(native, TLS1_2_VERSION);
+    SSL_CTX_set1_cert_store(native, SSL_CTX_get_cert_store(m_context));
+    SSL_CTX_set_verify(native, SSL_VERIFY_PEER, nullptr);
+    [[maybe_unused]] const int isNumber =
+            X509_VERIFY_PARAM_set1_ip_asc(SSL_CTX_get0_param(native), address.c_str());
+    assert(isNumber == 1 && "endpoints are given by IP number");
+    if (X509 *certificate = SSL_CTX_get0_certificate(m_context)) {
+        STACK_OF(X509) *chain = nullptr;
+        SSL_CTX_get0_chain_certs(m_context, &chain);
+        SSL_CTX_use_cert_and_key(native, certificate, SSL_CTX_get0_privatekey(m_context), chain, 1);
+    }
+    return copy;
+}
+
 TlsContext::~TlsContext()
 {
     SSL_CTX_free(m_context);
--- a/src/net/tlscontext.h
+++ b/src/net/tlscontext.h
@@ -21,6 +21,10 @@
     /// authorities, or against those of the system where none are set.
     static absl::StatusOr<std::unique_ptr<TlsContext>> forClient(const TlsFiles &files);
 
+    /// Returns a copy of a client's context that accepts only servers whose certificate names the
+    /// IP number \a address among its subject alternative names.
+    std::unique_ptr<TlsContext> forServerAt(const std::string &address) const;
+
     ~TlsContext();
     TlsContext(const TlsContext &) = delete;
     TlsContext &operator=(const TlsContext &) = delete;
