Bench of routing policies, admission at the node, learnt lengths

Admission holds requests by priority, short before long; a held request blocks none that is shorter.

--- /dev/null
+++ b/src/bench/memorystudy.h
@@ -0,0 +1,13 @@
+#ifndef CURRANTWALK_BENCH_MEMORYSTUDY_H
+#define CURRANTWALK_BENCH_MEMORYSTUDY_H
+
+namespace currantwalk {
+
+/// Measures what memory of one's own routing is worth: mean times to the whole answer of each
+/// policy, relative to uniform random routing, at several variations of service time and ages of
+/// reports.
+int runMemoryStudy(int firstSeed, int seeds, bool isJson);
+
+} // namespace currantwalk
+
+#endif // CURRANTWALK_BENCH_MEMORYSTUDY_H
--- /dev/null
+++ b/src/routing/lengthestimator.cpp
@@ -0,0 +1,125 @@
+#include "routing/lengthestimator.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace currantwalk {
+
+static constexpr double FirstEdge = 8;      // Tokens; each next edge is longer by the root of two.
+static constexpr double WeightLimit = 400;  // Answers; then all counts are halved.
+static constexpr double ServiceWeight = 20; // Answers that an organisation must outweigh.
+static constexpr double PriorWeight = 5;    // Answers that a service must outweigh.
+static constexpr double PriorMean = 512;    // Tokens of an answer when nothing is known.
+
+// Position on the scale of edges, with its fraction.
+static double edgePosition(double tokens)
+{
+    return tokens <= FirstEdge ? 0 : 2 * std::log2(tokens / FirstEdge);
+}
+
+void SurvivalCurve::learn(std::uint32_t tokens)
+{
+    const double position = std::ceil(edgePosition(tokens));
+    m_counts[std::min(Edges - 1, static_cast<std::size_t>(position))] += 1;
+    m_weight += 1;
+    if (m_weight > WeightLimit) {
+        for (double &count : m_counts)
+            count /= 2;
+        m_weight /= 2;
+    }
+    double longer = m_weight;
+    for (std::size_t i = 0; i < Edges; ++i) {
+        longer -= m_counts[i];
+        m_shares[i] = std::max(0.0, longer / m_weight);
+    }
+}
+
+double SurvivalCurve::longerThan(double tokens) const
+{
+    if (tokens < FirstEdge)
+        return 1 + (m_shares[0] - 1) * std::max(0.0, tokens) / FirstEdge;
+    const double position = edgePosition(tokens);
+    const auto edge = static_cast<std::size_t>(position);
+    if (edge + 1 >= Edges)
+        return 0;
+    const double part = position - static_cast<double>(edge);
+    return m_shares[edge] + (m_shares[edge + 1] - m_shares[edge]) * part;
+}
+
+// An organisation with few answers is taken to be like its service, and a service with few like the
+// prior.
+double LengthEstimator::View::longerThan(double tokens) const
+{
+    double share = std::exp(-tokens / PriorMean);
+    if (m_service != nullptr) {
+        const double weight = m_service->weight();
+        share = (share * PriorWeight + m_service->longerThan(tokens) * weight)
+                / (PriorWeight + weight);
+    }
+    if (m_organisation != nullptr) {
+        const double weight = m_organisation->weight();
+        share = (share * ServiceWeight + m_organisation->longerThan(tokens) * weight)
+                / (ServiceWeight + weight);
+    }
+    return share;
+}
+
+double LengthEstimator::View::mean() const
+{
+    constexpr double LongestTokens = 32768;
+    double sum = 0;
+    double last = 0;
+    for (double edge = FirstEdge; edge <= LongestTokens; edge *= 2) { // NOLINT(cert-flp30-c)
+        sum += (edge - last) * longerThan((edge + last) / 2);
+        last = edge;
+    }
+    return sum;
+}
+
+static std::string organisationKey(const std::string &service, const std::string &organisation)
+{
+    return service + '\n' + organisation;
+}
+
+const SurvivalCurve *LengthEstimator::find(const std::string &key) const
+{
+    const auto it = m_curves.find(key);
+    return it == m_curves.end() ? nullptr : &it->second.curve;
+}
+
+LengthEstimator::View LengthEstimator::view(const std::string &service,
+                                            const std::string &organisation) const
+{
+    View view;
+    view.m_service = find(service);
+    view.m_organisation = find(organisationKey(service, organisation));
+    return view;
+}
+
+SurvivalCurve &LengthEstimator::curveToLearn(const std::string &key)
+{
+    const auto it = m_curves.find(key);
+    if (it != m_curves.end()) {
+        m_uses.splice(m_uses.begin(), m_uses, it->second.use);
+        return it->second.curve;
+    }
+    if (m_curves.size() >= m_limit) {
+        m_curves.erase(m_uses.back());
+        m_uses.pop_back();
+    }
+    m_uses.push_front(key);
+    Entry &entry = m_curves[key];
+    entry.use = m_uses.begin();
+    return entry.curve;
+}
+
+void LengthEstimator::learn(const std::string &service, const std::string &organisation,
+                            std::uint32_t tokens)
+{
+    curveToLearn(organisationKey(service, organisation)).learn(tokens);
+    curveToLearn(service).learn(tokens);
+    assert(m_curves.size() <= m_limit && "state is bounded");
+}
+
+} // namespace currantwalk
--- /dev/null
+++ b/src/routing/tests/admissiontest.cpp
@@ -0,0 +1,174 @@
+#include <string>
+#include <vector>
+
+#include "base/virtualtimerservice.h"
+#include "routing/admission.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantwalk;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Has room for so many; services named "short" are expected to be so.
+class RoomPolicy : public RoutingPolicy
+{
+public:
+    int room = 0;
+    int shortRoom = 0;
+    int decisions = 0;
+
+    RoutingDecision decide(const RoutingRequest &request, const std::vector<const Target *> &,
+                           TimePoint now) override
+    {
+        ++decisions;
+        const bool isShort = request.service == "short";
+        RoutingDecision decision;
+        decision.reason.expectedTokens = isShort ? 50 : 1000;
+        const bool hasRoom = room > 0 || (isShort && shortRoom > 0);
+        decision.verdict = hasRoom ? RoutingVerdict::Place : RoutingVerdict::Hold;
+        decision.askAgainAt = now + 100ms;
+        return decision;
+    }
+    void onPlaced(const RoutingRequest &request, const TargetId &, TimePoint) override
+    {
+        --(request.service == "short" && shortRoom > 0 ? shortRoom : room);
+    }
+    void onToken(const RequestId &, std::uint32_t, TimePoint) override {}
+    void onReleased(const RequestId &, bool, std::uint32_t, TimePoint) override {}
+    void onLoad(const Target &, TimePoint) override {}
+    void onCacheEvent(const TargetId &, std::uint64_t, bool) override {}
+    void onTargetGone(const TargetId &) override {}
+    void onNodeCount(std::uint32_t) override {}
+};
+
+} // namespace
+
+TEST_GROUP(Admission)
+{
+    VirtualTimerService timers;
+    RoomPolicy policy;
+    std::vector<std::string> placed;
+    std::vector<std::string> shed;
+    std::unique_ptr<Admission> admission = Admission::create(policy, hooks(), timers);
+
+    Admission::Hooks hooks()
+    {
+        Admission::Hooks result;
+        result.candidates = [](const RoutingRequest &) { return std::vector<const Target *>(); };
+        result.place = [this](const RoutingRequest &request, const RoutingDecision &) {
+            placed.push_back(request.id.text());
+        };
+        result.shed = [this](const RoutingRequest &request, const RoutingDecision &) {
+            shed.push_back(request.id.text());
+        };
+        return result;
+    }
+
+    void submit(const char *id, const char *service, std::uint32_t rank = 1, Duration hold = 60s)
+    {
+        RoutingRequest request;
+        request.id = RequestId(id);
+        request.service = service;
+        request.priorityRank = rank;
+        request.holdUntil = timers.now() + hold;
+        admission->submit(request);
+    }
+
+    void addRoom(int room)
+    {
+        policy.room += room;
+        admission->onChange();
+    }
+};
+
+TEST(Admission, placesAtOnceWhereThereIsRoom)
+{
+    policy.room = 1;
+    submit("a", "long");
+    CHECK((placed == std::vector<std::string>{"a"}));
+    CHECK_EQUAL(0U, admission->held());
+}
+
+TEST(Admission, firstComeFirstServedWithinAPriority)
+{
+    submit("a", "long");
+    submit("b", "long");
+    addRoom(1);
+    CHECK((placed == std::vector<std::string>{"a"}));
+    policy.room = 1;
+    submit("c", "long");
+    addRoom(1);
+    CHECK((placed == std::vector<std::string>{"a", "b", "c"}));
+}
+
+TEST(Admission, higherPriorityGoesFirst)
+{
+    submit("low", "long", 2);
+    submit("high", "long", 0);
+    addRoom(1);
+    CHECK((placed == std::vector<std::string>{"high"}));
+}
+
+TEST(Admission, shortDoesNotWaitForRoomThatLongNeeds)
+{
+    submit("long", "long", 0);
+    policy.shortRoom = 1;
+    submit("short", "short", 1);
+    CHECK((placed == std::vector<std::string>{"short"}));
+    CHECK_EQUAL(1U, admission->held());
+}
+
+TEST(Admission, asksAgainWithoutAChange)
+{
+    submit("a", "long");
+    policy.room = 1;
+    timers.advance(200ms);
+    CHECK((placed == std::vector<std::string>{"a"}));
+}
+
+TEST(Admission, givesUpAtOnceWhenTheHoldEnds)
+{
+    submit("patient", "long", 0, 60s);
+    submit("hasty", "long", 1, 5s);
+    timers.advance(4999ms);
+    CHECK(shed.empty());
+    timers.advance(11ms);
+    CHECK((shed == std::vector<std::string>{"hasty"}));
+    CHECK_EQUAL(1U, admission->held());
+}
+
+TEST(Admission, cancelledRequestIsForgotten)
+{
+    submit("a", "long");
+    submit("b", "long");
+    CHECK(admission->cancel(RequestId("a")));
+    CHECK(!admission->cancel(RequestId("a")));
+    addRoom(2);
+    CHECK((placed == std::vector<std::string>{"b"}));
+    timers.advance(120s);
+    CHECK(shed.empty());
+}
+
+TEST(Admission, requestWithExcludedTargetsHoldsUpNoOther)
+{
+    RoutingRequest picky;
+    picky.id = RequestId("picky");
+    picky.service = "long";
+    picky.excluded.push_back(TargetId("engine-1"));
+    picky.holdUntil = TimePoint(60s);
+    admission->submit(picky);
+    policy.room = 1;
+    submit("a", "long");
+    CHECK((placed == std::vector<std::string>{"a"}));
+}
+
+TEST(Admission, heldLanesAreAskedOnceAChange)
+{
+    for (int i = 0; i < 500; ++i)
+        submit(std::to_string(i).c_str(), "long");
+    policy.decisions = 0;
+    admission->onChange();
+    CHECK_EQUAL(1, policy.decisions);
+}
