Project policy forecasts memory and keeps a margin

Cause: the first policy reserved a fixed 512 tokens and ignored other nodes. Change: learnt survival of lengths gives the memory to come of each engine; other nodes' load comes from reports and node count; a margin in standard deviations adapts to preemptions.

--- a/src/routing/projectpolicy.cpp
+++ b/src/routing/projectpolicy.cpp
@@ -3,61 +3,109 @@
 #include <algorithm>
 #include <limits>
 
-#include "routing/baselines.h"
-
 namespace currantwalk {
 
-static constexpr double FillLimit = 0.9; // Of an engine's memory.
-static constexpr std::uint32_t ExpectedAnswerTokens = 512;
+static constexpr float StartMargin = 1; // Standard deviations of forecast memory kept free.
+static constexpr float LeastMargin = 0;
+static constexpr float MostMargin = 3;
+static constexpr float MarginRise = 0.05F;   // For each preemption reported.
+static constexpr float MarginDecay = 0.002F; // For each report.
+static constexpr float FillLimit = 0.98F;    // Of an engine's memory.
+static constexpr float RareSurvival = 0.05F; // Steps that fewer answers reach are left out.
 static constexpr Duration HoldRecheck = std::chrono::milliseconds(100);
 
-static double reservation(const RoutingRequest &request)
+ProjectPolicy::ProjectPolicy(std::uint64_t seed)
+    : BasePolicy(seed), m_ledger(m_lengths, random()), m_margin(StartMargin)
 {
-    const std::uint32_t answer = request.maxTokens > 0
-                                         ? std::min(request.maxTokens, ExpectedAnswerTokens)
-                                         : ExpectedAnswerTokens;
-    return static_cast<double>(request.promptTokens) + answer;
+}
+
+static std::size_t stepsAlive(const RoutingRequest &request, const MemoryForecast &need)
+{
+    std::size_t steps = 1;
+    while (steps < ForecastSize) {
+        const float tokens = static_cast<float>(request.promptTokens) + ForecastSteps[steps];
+        if (need.mean[steps] < RareSurvival * tokens)
+            break;
+        ++steps;
+    }
+    return steps;
 }
 
 RoutingDecision ProjectPolicy::choose(const RoutingRequest &request, const Candidates &allowed,
                                       TimePoint now)
 {
-    const double needed = reservation(request);
-    const Target *best = allowed.front();
-    double bestFill = std::numeric_limits<double>::infinity();
+    const MemoryForecast need = m_ledger.forecast(request);
+    const std::size_t steps = stepsAlive(request, need);
+    const Target *best = nullptr;
+    float bestFill = std::numeric_limits<float>::infinity();
     for (const Target *target : allowed) {
-        const auto sent = m_sentTokens.find(target->id);
-        const double ownTokens = sent == m_sentTokens.end() ? 0 : sent->second;
-        const double capacity = static_cast<double>(target->load.capacityTokens);
-        const double fill = capacity > 0 ? reportedLoad(*target) + (ownTokens + needed) / capacity
-                                         : outstanding(target->id);
+        const HeadroomLedger::Engine *engine = m_ledger.find(target->id);
+        float fill = static_cast<float>(outstanding(target->id)) / 100;
+        if (engine != nullptr && engine->capacityTokens > 0) {
+            const float peak = m_ledger.peakWith(*engine, need, steps, m_margin, now);
+            fill = peak / engine->capacityTokens;
+            const bool isIdle = engine->ownCount + engine->running + engine->waiting == 0;
+            if (fill > FillLimit && !isIdle)
+                continue;
+        }
         if (fill < bestFill) {
             best = target;
             bestFill = fill;
         }
     }
-    if (best->load.capacityTokens > 0 && bestFill > FillLimit)
-        return holdUntil(now + HoldRecheck, "no-room", allowed.size());
-    RoutingDecision decision = placeAt(*best, "least-reserved", allowed.size(), bestFill);
-    decision.reason.reservedTokens = needed;
+    RoutingDecision decision = best != nullptr
+                                       ? placeAt(*best, "least-peak", allowed.size(), bestFill)
+                                       : holdUntil(now + HoldRecheck, "no-room", allowed.size());
+    decision.reason.expectedTokens = m_lengths.view(request.service, request.organisation).mean();
+    decision.reason.reservedTokens = peakMemory(need, m_margin);
     return decision;
 }
 
 void ProjectPolicy::onPlaced(const RoutingRequest &request, const TargetId &target, TimePoint now)
 {
     BasePolicy::onPlaced(request, target, now);
-    m_sentTokens[target] += reservation(request);
+    m_origins.try_emplace(request.id, Origin{request.service, request.organisation});
+    m_ledger.onPlaced(request, target, now);
+}
+
+void ProjectPolicy::onToken(const RequestId &request, std::uint32_t generated, TimePoint)
+{
+    m_ledger.onToken(request, generated);
 }
 
-void ProjectPolicy::onLoad(const Target &target, TimePoint)
+void ProjectPolicy::onReleased(const RequestId &request, bool isComplete, std::uint32_t generated,
+                               TimePoint now)
 {
-    m_sentTokens.erase(target.id);
+    BasePolicy::onReleased(request, isComplete, generated, now);
+    m_ledger.onReleased(request, now);
+    const auto origin = m_origins.find(request);
+    if (origin == m_origins.end())
+        return;
+    if (isComplete)
+        m_lengths.learn(origin->second.service, origin->second.organisation, generated);
+    m_origins.erase(origin);
+}
+
+void ProjectPolicy::onLoad(const Target &target, TimePoint now)
+{
+    adaptMargin(m_ledger.onLoad(target, now));
+}
+
+void ProjectPolicy::adaptMargin(std::uint64_t preempted)
+{
+    m_margin += MarginRise * static_cast<float>(preempted) - MarginDecay;
+    m_margin = std::clamp(m_margin, LeastMargin, MostMargin);
 }
 
 void ProjectPolicy::onTargetGone(const TargetId &target)
 {
     BasePolicy::onTargetGone(target);
-    m_sentTokens.erase(target);
+    m_ledger.onTargetGone(target);
+}
+
+void ProjectPolicy::onNodeCount(std::uint32_t nodes)
+{
+    m_ledger.onNodeCount(nodes);
 }
 
 } // namespace currantwalk
