Tests of claims, poison tracker and drain; doubt is recorded

Cause: others that claimed the same key waited until their deadlines for a result that would never come, when the winner's own answer was lost.

--- a/src/calls/claimindex.cpp
+++ b/src/calls/claimindex.cpp
@@ -31,14 +31,16 @@
         return;
     }
     const bool isVoid = record.kind == ClaimRecordKind::Void;
+    const bool isInDoubt = record.kind == ClaimRecordKind::Doubt;
     const auto it =
             std::find_if(entry.claims.begin(), entry.claims.end(),
                          [&record](const Claim &claim) { return claim.id == record.claimId; });
     if (it == entry.claims.end()) {
-        entry.claims.push_back(Claim{record.claimId, record.fingerprint, isVoid, now});
+        entry.claims.push_back(Claim{record.claimId, record.fingerprint, isVoid, isInDoubt, now});
         return;
     }
     it->isVoid = it->isVoid || isVoid;
+    it->isInDoubt = it->isInDoubt || isInDoubt;
     it->seenAt = now;
 }
 
--- a/src/calls/claimindex.h
+++ b/src/calls/claimindex.h
@@ -25,6 +25,7 @@
         std::string id;
         std::uint64_t fingerprint = 0;
         bool isVoid = false;
+        bool isInDoubt = false;
         TimePoint seenAt{};
     };
 
--- a/src/calls/claimrecord.cpp
+++ b/src/calls/claimrecord.cpp
@@ -9,9 +9,10 @@
 namespace currantwalk {
 
 // One letter each, for the log keeps and sends many of these.
-static constexpr std::array<EnumName<ClaimRecordKind>, 3> KindNames{{
+static constexpr std::array<EnumName<ClaimRecordKind>, 4> KindNames{{
         {ClaimRecordKind::Claim, "c"},
         {ClaimRecordKind::Void, "v"},
+        {ClaimRecordKind::Doubt, "d"},
         {ClaimRecordKind::Result, "r"},
 }};
 
--- a/src/calls/claimrecord.h
+++ b/src/calls/claimrecord.h
@@ -14,6 +14,7 @@
 enum class ClaimRecordKind {
     Claim,  ///< A node wants to send the request.
     Void,   ///< The claim has not been used and never will be.
+    Doubt,  ///< The claim was used and its result will not be known.
     Result, ///< The claim was used and this came of it.
 };
 
--- a/src/calls/claims.h
+++ b/src/calls/claims.h
@@ -65,6 +65,8 @@
     virtual void recordResult(const ClaimRequest &request, const PlainResponse &response) = 0;
     /// Records that a claim that was won was not used: the request has not run and will not.
     virtual void recordNotRun(const ClaimRequest &request, const absl::Status &status) = 0;
+    /// Records that nobody will learn what became of a claim that was won.
+    virtual void recordUnknown(const ClaimRequest &request) = 0;
     /// Looks up what became of a key, without claiming it. Unclaimed keys give NotClaimed.
     virtual void lookUp(const ClaimRequest &request, Callback callback) = 0;
     /// Returns the number of claims and results not yet settled in the log; for drain.
--- a/src/calls/logclaims.cpp
+++ b/src/calls/logclaims.cpp
@@ -251,10 +251,13 @@
         append(number, waiter);
 }
 
+// Nothing while the answer is open.
 std::optional<ClaimAnswer> LogClaims::verdict(const Waiter &waiter, const ClaimIndex::Entry *entry)
 {
-    ClaimAnswer answer;
     const ClaimIndex::Claim *holder = entry ? entry->holder() : nullptr;
+    if (waiter.claimId.empty())
+        return lookUpVerdict(waiter, holder);
+    ClaimAnswer answer;
     const bool isOther = (holder && holder->fingerprint != waiter.request.fingerprint)
                          || (entry && entry->result);
     if (isOther) {
@@ -263,14 +266,25 @@
                                   "the key was used for another request");
         return answer;
     }
-    if (!waiter.claimId.empty()) {
-        if (!holder || holder->id != waiter.claimId)
-            return std::nullopt;
+    if (!holder)
+        return std::nullopt;
+    if (holder->id == waiter.claimId) {
         answer.verdict = ClaimVerdict::Won;
         return answer;
     }
+    if (!holder->isInDoubt)
+        return std::nullopt;
+    answer.verdict = ClaimVerdict::Unknown;
+    answer.status = makeError(ErrorCode::OutcomeUnknown, "an earlier submission may have run");
+    return answer;
+}
+
+std::optional<ClaimAnswer> LogClaims::lookUpVerdict(const Waiter &waiter,
+                                                    const ClaimIndex::Claim *holder)
+{
     if (!isRead(waiter))
         return std::nullopt;
+    ClaimAnswer answer;
     answer.verdict = holder ? ClaimVerdict::Unknown : ClaimVerdict::NotClaimed;
     answer.status = holder ? makeError(ErrorCode::OutcomeUnknown, "claimed, without a result yet")
                            : makeError(ErrorCode::NotFound, "the key is not claimed");
@@ -409,6 +423,13 @@
     recordEnd(request, std::move(record));
 }
 
+void LogClaims::recordUnknown(const ClaimRequest &request)
+{
+    ClaimRecord record;
+    record.kind = ClaimRecordKind::Doubt;
+    recordEnd(request, std::move(record));
+}
+
 void LogClaims::recordEnd(const ClaimRequest &request, ClaimRecord record)
 {
     record.key = hashKey(request);
--- a/src/calls/logclaims.h
+++ b/src/calls/logclaims.h
@@ -28,6 +28,7 @@
     void claim(const ClaimRequest &request, Callback callback) override;
     void recordResult(const ClaimRequest &request, const PlainResponse &response) override;
     void recordNotRun(const ClaimRequest &request, const absl::Status &status) override;
+    void recordUnknown(const ClaimRequest &request) override;
     void lookUp(const ClaimRequest &request, Callback callback) override;
     std::size_t unsettled() const override { return m_waiters.size() + m_outgoing.size(); }
     const ClaimCounts &counts() const override { return m_counts; }
--- a/src/calls/plaincall.h
+++ b/src/calls/plaincall.h
@@ -88,6 +88,9 @@
     std::function<void(const PlainResponse &response)> recordResult;
     /// Records that a claim that was won has not been used and never will be.
     std::function<void()> recordNotRun;
+    /// Records that what became of a claim that was won will not be known. May be left empty: then
+    /// others that claim the key wait for a result until their deadlines.
+    std::function<void()> recordUnknown;
     /// Asks a target that stores keys what became of the request; onKeyLookup() answers.
     std::function<void(std::uint64_t exchange, const TargetId &target)> lookUpKey;
     std::function<void(const PlainResponse &response)> finish;
--- a/src/calls/plainmachine.cpp
+++ b/src/calls/plainmachine.cpp
@@ -302,6 +302,8 @@
 void PlainMachine::fail(const absl::Status &status, Duration retryAfter)
 {
     if (mayHaveRun()) {
+        if (m_isClaimWon && m_hooks.recordUnknown)
+            m_hooks.recordUnknown();
         const absl::Status &doubt = m_doubt ? *m_doubt : status;
         return end(m_request.isIdempotent ? status : doubt, Outcome::Unknown, retryAfter);
     }
--- /dev/null
+++ b/src/calls/tests/poisontest.cpp
@@ -0,0 +1,101 @@
+#include <memory>
+#include <vector>
+
+#include "base/virtualtimerservice.h"
+#include "calls/poisontracker.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantwalk;
+using namespace std::chrono_literals;
+
+TEST_GROUP(PoisonTracker)
+{
+    static constexpr std::uint64_t Poison = 1;
+    static constexpr std::uint64_t Innocent = 2;
+    const TargetId first{"e1"};
+    const TargetId second{"e2"};
+    VirtualTimerService timers;
+    std::vector<PoisonReport> reports;
+    std::unique_ptr<PoisonTracker> tracker = PoisonTracker::create(
+            timers, [this](const PoisonReport &report) { reports.push_back(report); });
+};
+
+TEST(PoisonTracker, secondDeathRefusesAndCompletionClears)
+{
+    tracker->onRunning(Poison, first, 1);
+    tracker->onRunning(Innocent, first, 1);
+    tracker->onTargetDied(first, 1);
+    CHECK(tracker->suspicion(Poison) == Suspicion::Suspect);
+    CHECK(tracker->suspicion(Innocent) == Suspicion::Suspect);
+    CHECK_EQUAL(2U, reports.size());
+    CHECK_EQUAL(1U, reports[0].neighbours);
+
+    tracker->onRunning(Innocent, second, 1);
+    tracker->onReleased(Innocent, second, true);
+    CHECK(tracker->suspicion(Innocent) == Suspicion::None);
+
+    tracker->onRunning(Poison, second, 1);
+    tracker->onTargetDied(second, 1);
+    CHECK(tracker->suspicion(Poison) == Suspicion::Refused);
+    CHECK_EQUAL(2U, tracker->entries().front().deaths.size());
+}
+
+TEST(PoisonTracker, oneDeathCountsOnceThroughManyNodes)
+{
+    tracker->onRunning(Poison, first, 4);
+    tracker->onTargetDied(first, 4);
+    tracker->onReport({Poison, first, 4, 0});
+    tracker->onReport({Poison, first, 4, 3});
+    tracker->onTargetDied(first, 4);
+    CHECK(tracker->suspicion(Poison) == Suspicion::Suspect);
+    tracker->onReport({Poison, first, 5, 0});
+    CHECK(tracker->suspicion(Poison) == Suspicion::Refused);
+}
+
+TEST(PoisonTracker, whatLeftTheTargetInTimeIsNotSuspected)
+{
+    tracker->onRunning(Poison, first, 1);
+    tracker->onReleased(Poison, first, false);
+    tracker->onRunning(Innocent, first, 2);
+    tracker->onTargetDied(first, 1);
+    CHECK(tracker->suspicion(Poison) == Suspicion::None);
+    CHECK(tracker->suspicion(Innocent) == Suspicion::None);
+    CHECK(reports.empty());
+}
+
+TEST(PoisonTracker, suspicionAndRefusalExpireOrAreCleared)
+{
+    tracker->onReport({Poison, first, 1, 0});
+    timers.advance(11min);
+    CHECK(tracker->suspicion(Poison) == Suspicion::None);
+    tracker->onReport({Poison, first, 2, 0});
+    CHECK(tracker->suspicion(Poison) == Suspicion::Suspect);
+    tracker->onReport({Poison, second, 1, 0});
+    timers.advance(30min);
+    CHECK(tracker->suspicion(Poison) == Suspicion::Refused);
+    tracker->onReleased(Poison, second, true);
+    CHECK(tracker->suspicion(Poison) == Suspicion::Refused);
+    timers.advance(31min);
+    CHECK(tracker->entries().empty());
+    tracker->onReport({Poison, first, 3, 0});
+    tracker->onReport({Poison, second, 3, 0});
+    tracker->clear(Poison);
+    CHECK(tracker->suspicion(Poison) == Suspicion::None);
+}
+
+TEST(PoisonTracker, floodOfRequestsIsBoundedAndKeepsRefusals)
+{
+    tracker->onReport({Poison, first, 1, 0});
+    tracker->onReport({Poison, second, 1, 0});
+    for (std::uint64_t i = 100; i < 20100; ++i) {
+        timers.advance(1us);
+        tracker->onReport({i, first, 1, 0});
+    }
+    CHECK(tracker->entries().size() <= 10000);
+    CHECK(tracker->suspicion(Poison) == Suspicion::Refused);
+    for (std::uint64_t i = 0; i < 500; ++i)
+        tracker->onRunning(i + 50000, second, 9);
+    tracker->onTargetDied(second, 9);
+    CHECK(reports.size() <= 32);
+}
--- a/src/calls/tests/simcaller.cpp
+++ b/src/calls/tests/simcaller.cpp
@@ -262,8 +262,8 @@
 
 void SimCaller::comeBack()
 {
-    m_world.later(std::chrono::seconds(1), [this] {
-        if (m_end != SimEnd::Open)
+    m_world.later(std::chrono::seconds(1), [this, session = m_session] {
+        if (m_end != SimEnd::Open || session != m_session)
             return;
         if (m_resumeToken.empty()) {
             if (!mayResubmit())
--- a/src/calls/tests/simplain.cpp
+++ b/src/calls/tests/simplain.cpp
@@ -62,6 +62,7 @@
     hooks.recordNotRun = [this, id] {
         m_claims->recordNotRun(m_plain.at(id).claim, absl::OkStatus());
     };
+    hooks.recordUnknown = [this, id] { m_claims->recordUnknown(m_plain.at(id).claim); };
     hooks.finish = [this, id](const PlainResponse &response) {
         m_plain.at(id).caller.response(response);
     };
--- /dev/null
+++ b/src/drain/tests/draintest.cpp
@@ -0,0 +1,76 @@
+#include <memory>
+#include <vector>
+
+#include "base/virtualtimerservice.h"
+#include "drain/drain.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantwalk;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Drain)
+{
+    VirtualTimerService timers;
+    std::vector<DrainPhase> phases;
+    std::size_t requests = 0;
+    std::size_t claims = 0;
+    int handOvers = 0;
+    int exits = 0;
+    std::unique_ptr<Drain> drain = makeDrain();
+
+    std::unique_ptr<Drain> makeDrain()
+    {
+        Drain::Hooks hooks;
+        hooks.onPhase = [this](DrainPhase phase) { phases.push_back(phase); };
+        hooks.requestsInProgress = [this] { return requests; };
+        hooks.unsettledClaims = [this] { return claims; };
+        hooks.handOver = [this] { ++handOvers; };
+        hooks.exit = [this] { ++exits; };
+        return Drain::create(Drain::Options(), std::move(hooks), timers);
+    }
+};
+
+TEST(Drain, waitsForTheLastRequestHoweverLongItTakes)
+{
+    requests = 1;
+    drain->begin();
+    drain->begin();
+    CHECK(!drain->isReady());
+    CHECK(drain->isTakingWork());
+    timers.advance(6s);
+    CHECK(!drain->isTakingWork());
+    timers.advance(24h);
+    CHECK(drain->phase() == DrainPhase::Refusing);
+    CHECK_EQUAL(0, handOvers);
+    requests = 0;
+    claims = 2;
+    timers.advance(1s);
+    CHECK(drain->phase() == DrainPhase::Settling);
+    CHECK_EQUAL(1, handOvers);
+    CHECK_EQUAL(0, exits);
+    claims = 0;
+    timers.advance(1s);
+    CHECK_EQUAL(1, exits);
+    CHECK((phases
+           == std::vector<DrainPhase>{DrainPhase::Announcing, DrainPhase::Refusing,
+                                      DrainPhase::Settling, DrainPhase::Finished}));
+}
+
+TEST(Drain, onlyADeadlineCutsOffWhatIsInProgress)
+{
+    requests = 1;
+    drain->setDeadline(1s);
+    timers.advance(1h);
+    CHECK(drain->phase() == DrainPhase::Serving);
+    drain->begin();
+    drain->setDeadline(30s);
+    timers.advance(29s);
+    CHECK_EQUAL(0, exits);
+    timers.advance(2s);
+    CHECK_EQUAL(1, handOvers);
+    CHECK_EQUAL(1, exits);
+    timers.advance(1h);
+    CHECK_EQUAL(1, exits);
+    CHECK_EQUAL(0U, timers.pending());
+}
