Rolling replacement under load; only a target's refusal proves not-run

Cause: with bytes sent, a code of the class 'sound to retry' could come from elsewhere than the target, and proves nothing then. Change: only TargetRefused and TargetBusy (and, of an engine, UnknownModel and NotFound) count as refusals.

--- a/src/calls/generationcall.h
+++ b/src/calls/generationcall.h
@@ -145,7 +145,9 @@
     virtual void onOpened(std::uint64_t exchange, const GenerationId &generation) = 0;
     virtual void onToken(std::uint64_t exchange, std::uint32_t position, std::string text) = 0;
     virtual void onFinished(std::uint64_t exchange, std::uint32_t tokens, FinishReason reason) = 0;
-    /// \a wasSent tells whether any of the request may have reached the target.
+    /// \a wasSent tells whether any of the request may have reached the target. TargetRefused,
+    /// TargetBusy, UnknownModel and NotFound then say that the engine refused to begin the attempt;
+    /// NotFound, ResumeExpired and GenerationLost of a resume, that it has no such generation.
     virtual void onExchangeFailed(std::uint64_t exchange, const absl::Status &status,
                                   bool wasSent) = 0;
     /// The target is known to be dead, at \a incarnation or before.
--- a/src/calls/generationrecovery.cpp
+++ b/src/calls/generationrecovery.cpp
@@ -58,11 +58,11 @@
 }
 
 // An engine refuses only an attempt that it does not run, for a known one it attaches to; so a
-// refusal clears an earlier send of the same attempt as well. A failure to connect does not.
+// refusal clears an earlier send of the same attempt as well.
 void GenerationMachine::onOpenFailed(const absl::Status &status, bool wasSent)
 {
     const ErrorCode code = errorCode(status);
-    if (wasSent && code != ErrorCode::ConnectFailed && isRefusal(code)) {
+    if (wasSent && isRefusal(code)) {
         m_fate = AttemptFate::NotRun;
         return onRefused(status);
     }
--- a/src/calls/plaincall.h
+++ b/src/calls/plaincall.h
@@ -114,6 +114,9 @@
                                    Duration retryAfter) = 0;
     virtual void onClaim(const ClaimAnswer &answer) = 0;
     virtual void onResponse(std::uint64_t exchange, PlainResponse response) = 0;
+    /// \a wasSent tells whether any of the request may have reached the target. TargetRefused and
+    /// TargetBusy then say that the target refused, in a way its protocol defines, before it ran
+    /// anything; an HTTP status that does not promise this is a response.
     virtual void onExchangeFailed(std::uint64_t exchange, const absl::Status &status,
                                   bool wasSent) = 0;
     /// \a response is what the target stored for the key; nothing where it has not run it.
--- a/src/calls/plainmachine.cpp
+++ b/src/calls/plainmachine.cpp
@@ -237,7 +237,8 @@
     m_exchange = 0;
     if (m_state == PlainState::LookingUp)
         return waitToLookUp();
-    const bool isRefused = retryClass(errorCode(status)) == RetryClass::Sound;
+    const ErrorCode code = errorCode(status);
+    const bool isRefused = code == ErrorCode::TargetRefused || code == ErrorCode::TargetBusy;
     if (!wasSent || isRefused)
         return onSendProvenUnrun(status);
     onSendInDoubt(status);
