Leases by the order of the log, safe for paused and cut-off holders

Cause: duties that one node does alone need a holder without a coordination service or trusted clocks. Change: takes name the last record that was read, renewals count from before their sending and once read back as valid, challengers watch the stream for a whole duration by their own clock; readers from the middle learn the duties by a table.

--- a/src/lease/leases.h
+++ b/src/lease/leases.h
@@ -42,7 +42,11 @@
     {
         LogHooks log;
         std::function<void(const Lease &)> onTaken;
+        /// This node held the duty and no longer does, other than by drop().
         std::function<void(const std::string &duty)> onLost;
+        /// Whether a duty whose holder was silent for \a watched may be taken. Replaces the rule so
+        /// that a test can show a faulty one to be caught; empty otherwise.
+        std::function<bool(Duration watched, Duration duration)> mayChallenge;
     };
 
     static std::unique_ptr<Leases> create(const Options &options, Hooks hooks, TimerService &timers,
@@ -53,7 +57,7 @@
     virtual void start() = 0;
     /// Asks for the duty, now and whenever it is free, until drop().
     virtual void want(const std::string &duty) = 0;
-    /// Gives the duty up at once so that another may take it.
+    /// Gives the duty up at once so that another may take it. Effects under it must have ended.
     virtual void drop(const std::string &duty) = 0;
     /// Returns the lease if this node holds it now, by its own monotonic clock less the margin.
     virtual std::optional<Lease> held(const std::string &duty) const = 0;
--- a/src/log/streamreader.cpp
+++ b/src/log/streamreader.cpp
@@ -24,10 +24,10 @@
       m_log(log),
       m_timers(timers),
       m_random(random),
-      m_next(options.from),
+      m_next(std::max<LogOffset>(options.from, 1)),
+      m_isSeekingEnd(options.from == 0),
       m_self(std::make_shared<StreamReader *>(this))
 {
-    assert(options.from > 0 && "offsets start at 1");
     assert(options.pageSize > 0 && "a page holds at least one record");
 }
 
@@ -53,7 +53,7 @@
     m_timers.cancel(m_timer);
     m_timer = m_timers.subscribeAfter(delay, [this] {
         m_timer = NoTimer;
-        if (m_isSeekingOldest)
+        if (m_isSeekingOldest || m_isSeekingEnd)
             read(PastAnyEnd, 1);
         else
             read(m_next, m_options.pageSize);
@@ -84,7 +84,10 @@
     m_timers.cancel(m_timer);
     m_timer = NoTimer;
     if (answer.ok()) {
-        m_isSeekingOldest ? onOldest(*answer) : onPage(*answer);
+        if (m_isSeekingOldest || m_isSeekingEnd)
+            onBounds(*answer);
+        else
+            onPage(*answer);
         return;
     }
     if (errorCode(answer.status()) == ErrorCode::LogRecordsExpired) {
@@ -126,16 +129,18 @@
     schedule(isAtEnd ? pause : Duration(0));
 }
 
-void StreamReader::onOldest(const LogPage &page)
+void StreamReader::onBounds(const LogPage &page)
 {
+    const LogOffset next = m_isSeekingEnd ? page.end : page.oldest;
+    const bool isStarting = std::exchange(m_isSeekingEnd, false);
     m_isSeekingOldest = false;
     m_failures = 0;
-    if (page.oldest <= m_next) {
-        schedule(m_options.pollInterval);
+    if (next <= m_next) {
+        schedule(isStarting ? Duration(0) : m_options.pollInterval);
         return;
     }
-    const StreamGap gap{m_next, page.oldest};
-    m_next = page.oldest;
+    const StreamGap gap{m_next, next};
+    m_next = next;
     const std::shared_ptr<StreamReader *> self = m_self;
     if (m_hooks.onGap)
         m_hooks.onGap(gap);
--- a/src/log/streamreader.h
+++ b/src/log/streamreader.h
@@ -18,7 +18,7 @@
 struct StreamGap
 {
     LogOffset expected = 0; ///< Offset that would have been read next.
-    LogOffset oldest = 0;   ///< Lowest offset still kept; reading goes on from it.
+    LogOffset oldest = 0;   ///< Lowest offset that can or shall be read; reading goes on from it.
 };
 
 /// Follows one stream of the log from an offset on by polling. While the log is out it polls with
@@ -29,6 +29,8 @@
     struct Options
     {
         std::string stream;
+        /// Offset to read first. 0 stands for the end that the stream has at the first read; all
+        /// before it is reported as a gap.
         LogOffset from = 1;
         Duration pollInterval = std::chrono::milliseconds(500);
         Duration maxBackoff = std::chrono::seconds(5);
@@ -73,7 +75,7 @@
     void read(LogOffset from, std::size_t limit);
     void onAnswer(std::uint64_t number, absl::StatusOr<LogPage> answer);
     void onPage(const LogPage &page);
-    void onOldest(const LogPage &page);
+    void onBounds(const LogPage &page);
     void onFailure(const absl::Status &status);
     Duration backoff();
 
@@ -87,7 +89,8 @@
     TimerId m_timer = NoTimer; // Of the next poll, or of the timeout of the read under way.
     std::uint64_t m_reads = 0; // Numbers reads, so that a late answer is told from a current one.
     bool m_isReading = false;
-    bool m_isSeekingOldest = false;
+    bool m_isSeekingOldest = false; // The next read asks for the stream's bounds alone.
+    bool m_isSeekingEnd;
     TimePoint m_askedAt{};
     std::uint32_t m_failures = 0;           // In a row.
     std::shared_ptr<StreamReader *> m_self; // Callbacks that outlive this find null.
--- a/src/log/tests/logtest.cpp
+++ b/src/log/tests/logtest.cpp
@@ -25,9 +25,10 @@
     std::optional<TimePoint> caughtUp;
     std::unique_ptr<StreamReader> reader;
 
-    void startReader(std::size_t pageSize = 256)
+    void startReader(std::size_t pageSize = 256, LogOffset from = 1)
     {
         StreamReader::Options options;
+        options.from = from;
         options.stream = "s";
         options.pageSize = pageSize;
         StreamReader::Hooks hooks;
@@ -68,6 +69,24 @@
     CHECK_EQUAL(5U, records.size());
 }
 
+TEST(StreamReader, startsAtTheEndWhereAsked)
+{
+    startReader(256, 0);
+    timers.advance(1s);
+    CHECK(gaps.empty());
+    CHECK(caughtUp.has_value());
+    log.put("s", "a");
+    timers.advance(1s);
+    CHECK_EQUAL(1U, records.size());
+    startReader(256, 0);
+    timers.advance(1s);
+    CHECK_EQUAL(1U, gaps.size());
+    CHECK_EQUAL(2U, gaps[0].oldest);
+    log.put("s", "b");
+    timers.advance(1s);
+    CHECK_EQUAL(2U, records.size());
+}
+
 TEST(StreamReader, backsOffWhileTheLogIsOut)
 {
     log.faults.isOut = true;
