--- a/src/calls/plainmachine.cpp
+++ b/src/calls/plainmachine.cpp
@@ -237,7 +237,8 @@
     m_exchange = 0;
     if (m_state == PlainState::LookingUp)
         return waitToLookUp();
-    const bool isRefused = retryClass(errorCode(status)) == RetryClass::Sound;
+    const ErrorCode code = errorCode(status);
+    const bool isRefused = code == ErrorCode::TargetRefused || code == ErrorCode::TargetBusy;
     if (!wasSent || isRefused)
         return onSendProvenUnrun(status);
     onSendInDoubt(status);
@@ -302,6 +303,8 @@
 void PlainMachine::fail(const absl::Status &status, Duration retryAfter)
 {
     if (mayHaveRun()) {
+        if (m_isClaimWon && m_hooks.recordUnknown)
+            m_hooks.recordUnknown();
         const absl::Status &doubt = m_doubt ? *m_doubt : status;
         return end(m_request.isIdempotent ? status : doubt, Outcome::Unknown, retryAfter);
     }
--- a/tools/currantwalk-bench/main.cpp
+++ b/tools/currantwalk-bench/main.cpp
@@ -5,11 +5,12 @@
 #include <sysexits.h>
 
 #include "bench/command.h"
+#include "bench/policies.h"
 
 using namespace currantwalk;
 
 // The sub-commands, in the order of the help.
-static const std::vector<BenchCommand> Commands{};
+static const std::vector<BenchCommand> Commands{PoliciesCommand};
 
 static void printUsage(std::FILE *stream)
 {
