--- a/src/membership/bytebudget.cpp
+++ b/src/membership/bytebudget.cpp
@@ -5,7 +5,11 @@
 namespace currantwalk {
 
 constexpr double BurstSeconds = 4;
-constexpr double BulkReserve = 0.5; ///< Share of the burst.
+constexpr double NewsReserve = 0.25; ///< Share of the burst.
+constexpr double BulkReserve = 0.5;  ///< Share of the burst.
+constexpr std::size_t MaxNewsBytes = 900;
+constexpr std::size_t ScarceNewsBytes = 300;
+constexpr std::size_t LeastNewsBytes = 150;
 
 ByteBudget::ByteBudget(std::size_t bytesPerSecond, TimePoint now)
     : m_rate(static_cast<double>(bytesPerSecond)),
@@ -15,10 +19,30 @@
 {
 }
 
+static double reserveOf(MessageUrgency urgency)
+{
+    switch (urgency) {
+    case MessageUrgency::News:
+        return NewsReserve;
+    case MessageUrgency::Bulk:
+        return BulkReserve;
+    case MessageUrgency::Probe:
+        break;
+    }
+    return 0;
+}
+
 bool ByteBudget::allows(MessageUrgency urgency, TimePoint now)
 {
     refill(now);
-    return m_available > (urgency == MessageUrgency::Bulk ? m_burst * BulkReserve : 0);
+    return m_available > reserveOf(urgency) * m_burst;
+}
+
+std::size_t ByteBudget::newsBytes(TimePoint now)
+{
+    if (allows(MessageUrgency::Bulk, now))
+        return MaxNewsBytes;
+    return allows(MessageUrgency::News, now) ? ScarceNewsBytes : LeastNewsBytes;
 }
 
 void ByteBudget::refill(TimePoint now)
--- a/src/membership/bytebudget.h
+++ b/src/membership/bytebudget.h
@@ -9,7 +9,8 @@
 namespace currantwalk {
 
 enum class MessageUrgency {
-    Probe, ///< Failure detection and news: may use the whole budget.
+    Probe, ///< Failure detection: may use the whole budget.
+    News,  ///< Leaves a quarter of the burst to probes.
     Bulk,  ///< Repair of tables: leaves half of the burst to the others.
 };
 
@@ -21,6 +22,9 @@
 
     /// Whether a message may be sent now. Its size may overdraw the budget once.
     bool allows(MessageUrgency urgency, TimePoint now);
+    /// Returns how many bytes of news a message may carry along: fewer as the budget runs out, so
+    /// that news never takes from probes what they need.
+    std::size_t newsBytes(TimePoint now);
     void spend(std::size_t bytes) { m_available -= static_cast<double>(bytes); }
 
 private:
--- a/src/membership/gossipmembership.cpp
+++ b/src/membership/gossipmembership.cpp
@@ -362,7 +362,7 @@
     if (m_hasJoined)
         return;
     m_hasJoined = true;
-    spread(m_self, true);
+    spread(m_self, true, true);
     push({1, m_table.zone(m_self.zone).size(), true, false, Duration(0)});
 }
 
@@ -449,7 +449,7 @@
 {
     m_self.state = MemberState::Left;
     m_table.put(m_self);
-    spread(m_self, false);
+    spread(m_self, false, true);
     runPush({1, m_table.zone(m_self.zone).size(), true, false, Duration(0)});
     m_hasLeft = true;
 }
--- a/src/membership/gossipmembership.h
+++ b/src/membership/gossipmembership.h
@@ -82,7 +82,7 @@
               MessageUrgency urgency = MessageUrgency::Probe);
     bool sendTo(const Endpoint &endpoint, bool isLink, const GossipMessage &message,
                 MessageUrgency urgency);
-    void spread(const Member &member, bool isFull);
+    void spread(const Member &member, bool isFull, bool isToLinks);
     void spreadFact(const GossipFact &fact, bool isWide);
     void push(const PushRound &round);
     void runPush(PushRound round);
--- a/src/membership/gossipsync.cpp
+++ b/src/membership/gossipsync.cpp
@@ -48,7 +48,8 @@
         ++m_messagesHeldBack;
         return false;
     }
-    const Json::Value json = writeMessage(message, m_queue.take(isLink, MaxLoadBytes, now));
+    const Json::Value json =
+            writeMessage(message, m_queue.take(isLink, m_budget.newsBytes(now), now));
     const std::size_t bytes = writeJson(json).size();
     m_budget.spend(bytes);
     ++m_messagesSent;
@@ -70,11 +71,11 @@
     return 1 + SendsPerLink * static_cast<std::uint32_t>(m_bridgedZones.size());
 }
 
-void GossipMembership::spread(const Member &member, bool isFull)
+void GossipMembership::spread(const Member &member, bool isFull, bool isToLinks)
 {
     const MemberUpdate update = isFull ? fullUpdate(member) : shortUpdate(member);
     m_queue.put(GossipKind::Member, "m:" + member.vm.text(), writeUpdate(update), zoneSends(),
-                linkSends(), m_timers.now());
+                isToLinks ? linkSends() : 0, m_timers.now());
 }
 
 void GossipMembership::disseminate(const std::string &kind, const Json::Value &fact,
@@ -141,14 +142,14 @@
     std::vector<const Member *> peers = presentPeers(m_self.zone);
     std::erase_if(peers, isDone);
     for (const Member *peer : choose(std::move(peers), std::min(round.peers, MaxWidePeers)))
-        send(*peer, makeMessage(GossipMessageKind::News));
+        send(*peer, makeMessage(GossipMessageKind::News), MessageUrgency::News);
     if (round.isToLinks) {
         for (const std::string &zone : m_bridgedZones) {
             const std::vector<const Member *> remote = presentPeers(zone);
             if (std::any_of(remote.begin(), remote.end(), isDone))
                 continue;
             for (const Member *peer : choose(remote, 1))
-                send(*peer, makeMessage(GossipMessageKind::News));
+                send(*peer, makeMessage(GossipMessageKind::News), MessageUrgency::News);
         }
     }
     if (--round.roundsLeft == 0)
@@ -164,7 +165,8 @@
                        : update.incarnation);
         return;
     }
-    const bool isNew = m_table.find(update.vm) == nullptr;
+    const Member *before = m_table.find(update.vm);
+    const bool wasPresent = before && isPresent(*before);
     if (!m_table.apply(update, m_timers.now()))
         return;
     const Member *member = m_table.find(update.vm);
@@ -175,10 +177,11 @@
         m_suspicions[member->vm] = m_timers.now() + m_options.suspicionTimeout;
     if (!isPresent(*member))
         m_ackedAt.erase(member->vm);
-    // Every node repairs its own table, so that what it learns of other zones by that way need not
-    // travel on.
-    if (!isRepair || isOwnZone(*member))
-        spread(*member, isNew || member->state == MemberState::Alive);
+    // Suspicion and its refutation concern the member's own zone alone. Every node repairs its own
+    // table, so that what it learns of other zones by that way need not travel on.
+    const bool isPresenceChange = wasPresent != isPresent(*member);
+    if (isOwnZone(*member) || (isPresenceChange && !isRepair))
+        spread(*member, member->state == MemberState::Alive, isPresenceChange);
     m_hooks.onChange(viewOf(*member));
 }
 
@@ -189,7 +192,7 @@
         return;
     m_self.incarnation = incarnation + 1;
     m_table.put(m_self);
-    spread(m_self, true);
+    spread(m_self, true, true);
     constexpr std::uint32_t Rounds = 2;
     constexpr std::size_t PeersPerRound = 3;
     push({Rounds, PeersPerRound, false, false, std::chrono::milliseconds(200)});
--- a/src/membership/membertable.cpp
+++ b/src/membership/membertable.cpp
@@ -139,11 +139,11 @@
     return static_cast<std::uint32_t>(all & HashMask);
 }
 
-// Suspicion is not hashed: it passes within seconds, by refutation or by death.
+// Suspicion and incarnations are not hashed: other zones need to know neither.
 void MemberTable::toggleHash(const Member &member)
 {
     if (isPresent(member))
-        m_hashes[member.zone] ^= stableHash(member.vm.text(), member.incarnation);
+        m_hashes[member.zone] ^= stableHash(member.vm.text() + member.endpoint.toString());
 }
 
 } // namespace currantwalk
