Demo: a longer plan that always ends by its bound

Cause: a plan of 200 tokens lasts 4 s and could end before the daemon is killed on a slow machine. Change: 400 tokens, from engines whose own end comes much later.

--- a/utils/demo.sh
+++ b/utils/demo.sh
@@ -51,7 +51,7 @@
         printf '[[target]]\nid = "engine-%s"\nzone = "demo-%s"\npool = "engines"\nendpoint = "%s.%d:9000"\n' \
             "$zone" "$zone" "$net" "$i"
         echo 'models = ["planner-70b", "assistant-8b", "frozen-catalogue", "hydraulics-70b", "drainage-codes", "triage-8b"]'
-        echo 'mean_tokens = 4000'
+        echo 'mean_tokens = 100000'
         i=$((i + 1))
     done
     printf '[[target]]\nid = "orders-a"\nkind = "plain"\nzone = "demo-a"\npool = "order-desk"\nendpoint = "%s.111:9000"\n' "$net"
@@ -144,7 +144,7 @@
 operate targets
 
 say "Streaming a restock plan and a triage answer at once"
-stream "$net.11" demo-key-armor-cuisines restock-plans 'Plan the week for the canteens of Rennes.' 200 "$work/plan.1" &
+stream "$net.11" demo-key-armor-cuisines restock-plans 'Plan the week for the canteens of Rennes.' 400 "$work/plan.1" &
 plan=$!
 stream "$net.12" demo-key-up-hydraulics triage 'Is the Marikina case ready to run?' 40 "$work/triage"
 grep -q '^data: \[DONE\]' "$work/triage" || die "the triage answer is not whole"
