Project policy: lower fill limits, roles by length, prefixes, two draws

Cause: reports lag and eight nodes see the same free memory, so a forecast that fills 98 % of it overshoots; the best of all engines draws every node at once and puts their prompts into the same steps. Long answers wait longer for their first token; the fill limit trades that against preemption.

--- a/src/routing/headroomledger.cpp
+++ b/src/routing/headroomledger.cpp
@@ -4,11 +4,13 @@
 #include <cassert>
 #include <cmath>
 
+#include "routing/engineroles.h"
+
 namespace currantwalk {
 
 static constexpr float GrowthRate = 0.02F; // Weight of one engine's present growth in the average.
 static constexpr double ResidenceRate = 0.02; // Weight of one generation in the average.
-static constexpr float SameEngine = 0.3F;     // Part of the others' sends that go where ours went.
+static constexpr float SameEngine = 0.7F;     // Part of the others' sends that go where ours went.
 
 static float secondsBetween(TimePoint from, TimePoint to)
 {
@@ -124,6 +126,8 @@
 std::uint64_t HeadroomLedger::onLoad(const Target &target, TimePoint)
 {
     Engine &engine = m_engines[target.id];
+    if (engine.rank == 0)
+        engine.rank = EngineRoles::rank(target.id);
     const TargetLoad &load = target.load;
     const bool isFirst = engine.capacityTokens == 0 || load.preemptions < engine.preemptions;
     const std::uint64_t preempted = isFirst ? 0 : load.preemptions - engine.preemptions;
@@ -191,4 +195,10 @@
     return peak;
 }
 
+float HeadroomLedger::headroomShare(const Engine &engine, float margin, TimePoint now) const
+{
+    const float peak = peakWith(engine, MemoryForecast(), ForecastSize, margin, now);
+    return std::max(0.0F, engine.capacityTokens - peak) / static_cast<float>(m_nodes);
+}
+
 } // namespace currantwalk
--- a/src/routing/headroomledger.h
+++ b/src/routing/headroomledger.h
@@ -27,11 +27,11 @@
         float capacityTokens = 0; ///< 0 while no report came.
         float contention = 0;     ///< Drawn from [0, 1) at each report; see peakWith().
         std::uint32_t ownCount = 0;
-        std::uint32_t ownShort = 0;
         std::uint64_t preemptions = 0;
         std::uint32_t running = 0;
         std::uint32_t waiting = 0;
         TimePoint reportedAt{};
+        std::uint64_t rank = 0;               ///< See EngineRoles.
         std::vector<std::size_t> generations; ///< Indices in the ledger.
     };
 
@@ -49,6 +49,8 @@
     /// by the engine's contention, as much as this one.
     float peakWith(const Engine &engine, const MemoryForecast &need, std::size_t steps,
                    float margin, TimePoint now) const;
+    /// Returns this node's share of the memory that stays free at the peak forecast.
+    float headroomShare(const Engine &engine, float margin, TimePoint now) const;
     /// Forecasts a request that is to be placed.
     MemoryForecast forecast(const RoutingRequest &request) const;
 
--- a/src/routing/projectpolicy.h
+++ b/src/routing/projectpolicy.h
@@ -2,8 +2,10 @@
 #define CURRANTWALK_ROUTING_PROJECTPOLICY_H
 
 #include "routing/basepolicy.h"
+#include "routing/engineroles.h"
 #include "routing/headroomledger.h"
 #include "routing/lengthestimator.h"
+#include "routing/prefixindex.h"
 
 namespace currantwalk {
 
@@ -19,6 +21,7 @@
     void onReleased(const RequestId &request, bool isComplete, std::uint32_t generated,
                     TimePoint now) override;
     void onLoad(const Target &target, TimePoint now) override;
+    void onCacheEvent(const TargetId &target, std::uint64_t prefixHash, bool isCached) override;
     void onTargetGone(const TargetId &target) override;
     void onNodeCount(std::uint32_t nodes) override;
 
@@ -33,12 +36,29 @@
         std::string organisation;
     };
 
+    struct Fit
+    {
+        const Target *target = nullptr;
+        const HeadroomLedger::Engine *engine = nullptr;
+        float score = 0;
+        std::uint32_t prefixTokens = 0;
+    };
+
     void adaptMargin(std::uint64_t preempted);
+    void collectFits(const RoutingRequest &request, const Candidates &allowed,
+                     const MemoryForecast &need, bool isShort, TimePoint now);
+    void preferCached(const RoutingRequest &request);
+    std::uint64_t shortLimit(const Candidates &allowed);
 
     LengthEstimator m_lengths;
     HeadroomLedger m_ledger;
+    EngineRoles m_roles;
+    PrefixIndex m_prefixes;
+
     std::unordered_map<RequestId, Origin> m_origins;
     float m_margin;
+    std::vector<Fit> m_fits; // Kept between decisions to save allocations, as are the ranks.
+    std::vector<std::uint64_t> m_ranks;
 };
 
 } // namespace currantwalk
