--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -7,6 +7,7 @@
 #include "base/json.h"
 #include "daemon/operatorsapi.h"
 #include "observe/logging.h"
+#include "routing/zonepolicy.h"
 
 namespace currantwalk {
 
@@ -182,7 +183,8 @@
 
 void Node::createRouting()
 {
-    m_policy = createRoutingPolicy(m_settings.routingPolicy, m_random.next64());
+    m_policy = createZonePolicy(createRoutingPolicy(m_settings.routingPolicy, m_random.next64()),
+                                m_settings.zone);
     m_dispatcher = std::make_unique<Dispatcher>(
             *m_policy, [this](const RoutingRequest &request) { return candidates(request); },
             m_loop.timers());
@@ -484,17 +486,14 @@
     return !request.isSuspect || (target.load.running == 0 && target.load.waiting == 0);
 }
 
-Dispatcher::Tiers Node::candidates(const RoutingRequest &request) const
+std::vector<const Target *> Node::candidates(const RoutingRequest &request) const
 {
-    Dispatcher::Tiers tiers(2);
-    for (const Target *target : m_targets->candidates(poolOf(request))) {
+    std::vector<const Target *> targets = m_targets->candidates(poolOf(request));
+    std::erase_if(targets, [&request](const Target *target) {
         const bool isServing = request.model.empty() || target->isServing(request.model);
-        if (!isServing || isExcluded(request, *target) || !isHarmless(request, *target))
-            continue;
-        const bool isLocal = target->zone == m_settings.zone;
-        tiers[isLocal ? 0 : 1].push_back(target);
-    }
-    return tiers;
+        return !isServing || isExcluded(request, *target) || !isHarmless(request, *target);
+    });
+    return targets;
 }
 
 RetryBudget &Node::retryBudget(const std::string &service)
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -101,7 +101,7 @@
     void fetchPrefixEvents(const Target &target);
     bool isWatcher(const TargetId &target) const;
     void announceToZone(const char *kind, const Json::Value &fact);
-    Dispatcher::Tiers candidates(const RoutingRequest &request) const;
+    std::vector<const Target *> candidates(const RoutingRequest &request) const;
     std::string poolOf(const RoutingRequest &request) const;
     RetryBudget &retryBudget(const std::string &service);
     RequestServices requestServices();
