Limits of the fleet are wired into the daemon

Cause: the daemon admitted all requests. Change: the sharing limiter stands behind the callers' interface; shares travel between peers. Conclusion: organisations and services are held to their limits.

--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -33,22 +33,6 @@
     return std::chrono::duration_cast<std::chrono::seconds>(sinceEpoch).count();
 }
 
-namespace {
-
-class OpenLimiter : public Limiter
-{
-public:
-    LimitVerdict admit(const std::string &, const std::string &, bool) override
-    {
-        return {true, {}, Duration(0)};
-    }
-    void charge(LimitGrant, std::uint32_t) override {}
-    void release(LimitGrant) override {}
-    void onObjects(const ObjectSet &) override {}
-};
-
-} // namespace
-
 absl::StatusOr<std::unique_ptr<Node>> Node::create(const Settings &settings, const NodeKeys &keys,
                                                    EventLoop &loop)
 {
@@ -60,6 +44,7 @@
     node->createConfig();
     node->createTargets();
     node->createRouting();
+    node->createLimits();
     node->createCalls();
     node->createDrain();
     node->addPeerMethods();
@@ -190,6 +175,19 @@
             m_loop.timers());
 }
 
+void Node::createLimits()
+{
+    LimiterOptions options;
+    options.self = VmId(m_settings.vm);
+    options.zone = m_settings.zone;
+    LimiterHooks hooks;
+    hooks.send = [this](const VmId &vm, const Json::Value &message) {
+        notifyVm(vm, "limits", message);
+    };
+    hooks.members = [this] { return m_membership->members(); };
+    m_limiter = createLimiter(options, std::move(hooks), m_loop.timers());
+}
+
 void Node::createCalls()
 {
     m_poison = PoisonTracker::create(m_loop.timers(), [this](const PoisonReport &report) {
@@ -197,7 +195,6 @@
         announceToZone("poison", fact);
         m_membership->disseminate("poison", fact, true);
     });
-    m_limiter = std::make_unique<OpenLimiter>();
     Claims::Options options;
     options.vm = VmId(m_settings.vm);
     options.incarnation = m_incarnation;
@@ -237,10 +234,7 @@
         m_peers.askReaders(others, generation, callback);
     };
     const auto tellTakenOver = [this](const VmId &vm, const GenerationId &generation) {
-        for (const Member &member : m_membership->members()) {
-            if (member.vm == vm && vm.text() != m_settings.vm)
-                m_peers.notify(member.endpoint, "taken-over", encodeGeneration(generation));
-        }
+        notifyVm(vm, "taken-over", encodeGeneration(generation));
     };
     const auto cancel = [this](const GenerationAttempt &attempt,
                                const std::optional<GenerationId> &generation) {
@@ -378,6 +372,14 @@
     }
 }
 
+void Node::notifyVm(const VmId &vm, const char *method, const Json::Value &message)
+{
+    for (const Member &member : m_membership->members()) {
+        if (member.vm == vm && vm.text() != m_settings.vm)
+            m_peers.notify(member.endpoint, method, message);
+    }
+}
+
 void Node::refreshVmList()
 {
     m_platform.fetchVms([this](const absl::StatusOr<VmList> &list) {
@@ -506,6 +508,14 @@
     return m_retryBudgets.try_emplace(service, share, RetryReserve).first->second;
 }
 
+static void respondStatus(const absl::Status &status, const RpcResponder &respondTo)
+{
+    if (status.ok())
+        respondTo(Json::Value(true));
+    else
+        respondTo(status);
+}
+
 void Node::addPeerMethods()
 {
     RpcServer &server = m_peers.server();
@@ -520,11 +530,10 @@
             respondTo(makeError(ErrorCode::NotReady, "no version is known here"));
     });
     server.addMethod("digest", [this](const Json::Value &params, const RpcResponder &respondTo) {
-        const absl::Status status = m_targets->onDigest(params);
-        if (status.ok())
-            respondTo(Json::Value(true));
-        else
-            respondTo(status);
+        respondStatus(m_targets->onDigest(params), respondTo);
+    });
+    server.addMethod("limits", [this](const Json::Value &params, const RpcResponder &respondTo) {
+        respondStatus(m_limiter->onMessage(params), respondTo);
     });
     for (const char *kind : {"target", "poison"}) {
         server.addMethod(kind,
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -88,6 +88,7 @@
     void createConfig();
     void createTargets();
     void createRouting();
+    void createLimits();
     void createCalls();
     void createDrain();
 
@@ -100,6 +101,7 @@
     void probeTarget(const Target &target);
     void fetchPrefixEvents(const Target &target);
     bool isWatcher(const TargetId &target) const;
+    void notifyVm(const VmId &vm, const char *method, const Json::Value &message);
     void announceToZone(const char *kind, const Json::Value &fact);
     std::vector<const Target *> candidates(const RoutingRequest &request) const;
     std::string poolOf(const RoutingRequest &request) const;
--- a/src/daemon/tests/nodetest.cpp
+++ b/src/daemon/tests/nodetest.cpp
@@ -1,5 +1,8 @@
+#include <algorithm>
 #include <string>
+#include <vector>
 
+#include "config/objectcodec.h"
 #include "fleetfixture.h"
 
 #include <CppUTest/TestHarness.h>
@@ -174,6 +177,38 @@
     });
 }
 
+TEST(Node, holdsAnOrganisationToItsLimitAcrossNodes)
+{
+    ObjectSet objects = testObjects();
+    LimitObject limit;
+    limit.name = "one";
+    limit.streams = 1;
+    objects.limits["one"] = limit;
+    objects.organisations["org"].limit = "one";
+    Json::Value params(Json::objectValue);
+    params["base"] = Json::UInt64(fleet.node(0).config().current()->version);
+    params["author"] = "test";
+    params["publication_id"] = "second";
+    params["objects"] = encodeObjects(objects);
+    CHECK(fleet.operate(fleet.node(0), "publish", params).ok());
+    const LogOffset version = fleet.node(0).config().current()->version;
+    fleet.runUntil([&] { return fleet.node(1).config().current()->version == version; });
+    std::vector<std::shared_ptr<CallerAnswer>> answers;
+    for (int i = 0; i < 8; ++i)
+        answers.push_back(fleet.complete(fleet.node(0), StreamBody));
+    fleet.runUntil([&] {
+        return std::all_of(answers.begin(), answers.end(),
+                           [](const auto &answer) { return answer->isEnded; });
+    });
+    std::size_t refused = 0;
+    for (const std::shared_ptr<CallerAnswer> &answer : answers) {
+        refused += answer->status == 429 ? 1 : 0;
+        if (answer->status == 429)
+            CHECK(findHeader(answer->headers, "retry-after").has_value());
+    }
+    CHECK(refused >= 7);
+}
+
 TEST(Node, explainsAndReportsToOperatorsWithTheKeyAlone)
 {
     const std::shared_ptr<CallerAnswer> answer = fleet.complete(fleet.node(0), StreamBody);
