--- a/src/targets/tests/targettabletest.cpp
+++ b/src/targets/tests/targettabletest.cpp
@@ -208,6 +208,7 @@
     targets["e1"].running = 7;
     timers.advance(3s);
     watched.clear();
+    timers.advance(1s);
     targets["e1"].incarnation = 4;
     targets["e1"].running = 9;
     CHECK(!digests.empty());
--- a/src/targets/watchedtargettable.cpp
+++ b/src/targets/watchedtargettable.cpp
@@ -30,6 +30,7 @@
 
 void WatchedTargetTable::start()
 {
+    chooseWatched();
     probeTick();
     shareTick();
 }
@@ -106,7 +107,7 @@
     publish(known, isChanged, Source::Peer, before);
     // The other node may have a broken link of its own: a watcher looks for itself, and its next
     // digest corrects a word that was wrong.
-    if (isChanged && isWatched(known))
+    if (isChanged && known.isWatched)
         probe(known);
     return absl::OkStatus();
 }
@@ -193,12 +194,13 @@
     return entry.record.target().zone == m_options.zone;
 }
 
-bool WatchedTargetTable::isWatched(const Entry &entry) const
+// Asked once an interval: the choice among the members costs more than all else done for a target.
+void WatchedTargetTable::chooseWatched()
 {
-    const TargetId &id = entry.record.target().id;
-    if (!entry.record.isListed())
-        return false;
-    return (isOwnZone(entry) || m_foreignWatched.count(id) > 0) && m_hooks.isWatcher(id);
+    for (auto &[id, known] : m_entries) {
+        const bool isMine = isOwnZone(known) || m_foreignWatched.count(id) > 0;
+        known.isWatched = known.record.isListed() && isMine && m_hooks.isWatcher(id);
+    }
 }
 
 bool WatchedTargetTable::isUsable(const Entry &entry) const
@@ -213,7 +215,7 @@
 {
     if (!isOwnZone(entry))
         return m_options.foreignInterval;
-    const bool isSlow = entry.record.target().state == TargetState::Gone || !isWatched(entry);
+    const bool isSlow = entry.record.target().state == TargetState::Gone || !entry.isWatched;
     return isSlow ? m_options.probeInterval * SlowProbeFactor : m_options.probeInterval;
 }
 
@@ -228,7 +230,7 @@
     const TimePoint now = m_timers.now();
     if (entry.lastProbe && now - *entry.lastProbe < probePeriod(entry))
         return false;
-    if (isWatched(entry))
+    if (entry.isWatched)
         return true;
     if (!isOwnZone(entry))
         return false;
@@ -274,7 +276,7 @@
 
 bool WatchedTargetTable::isShareDue(const Entry &entry) const
 {
-    if (!entry.isReportFresh || !isWatched(entry))
+    if (!entry.isReportFresh || !entry.isWatched)
         return false;
     const bool isPlain = entry.record.target().kind == TargetKind::Plain;
     const Duration period =
@@ -285,6 +287,7 @@
 
 void WatchedTargetTable::shareTick()
 {
+    chooseWatched();
     std::vector<DigestRow> rows;
     for (auto &[id, known] : m_entries) {
         if (!isShareDue(known))
--- a/src/targets/watchedtargettable.h
+++ b/src/targets/watchedtargettable.h
@@ -42,6 +42,7 @@
         std::optional<TimePoint> probedAt; ///< Of the probe that is not yet answered.
         std::optional<TimePoint> lastProbe;
         std::uint32_t failures = 0; ///< Probes in a row.
+        bool isWatched = false;     ///< By this node.
         bool isConfirming = false;  ///< Suspected by the data path until a probe answers.
         bool isProbeWanted = false;
         bool isReportFresh = false; ///< Of this node's probe, not yet in a digest.
@@ -55,7 +56,7 @@
     Entry &entry(const TargetId &id);
     Entry *findEntry(const TargetId &id);
     bool isOwnZone(const Entry &entry) const;
-    bool isWatched(const Entry &entry) const;
+    void chooseWatched();
     bool isUsable(const Entry &entry) const;
     Duration probePeriod(const Entry &entry) const;
     bool isProbeDue(const Entry &entry) const;
