--- a/src/daemon/callersapi.cpp
+++ b/src/daemon/callersapi.cpp
@@ -44,9 +44,11 @@
         return handleHealth(*exchange, true);
     if (path == "/readyz")
         return handleHealth(*exchange, m_hooks.isReady());
-    if (path == "/metrics")
+    if (path == "/metrics") {
+        m_hooks.refreshGauges();
         return respond(*exchange, 200, "text/plain; version=0.0.4",
                        m_services.metrics.exposition());
+    }
     m_services.metrics.count("currantwalk_requests_total");
     if (path == "/v1/completions")
         return handleCompletion(CompletionForm::Text, exchange);
--- a/src/daemon/callersapi.h
+++ b/src/daemon/callersapi.h
@@ -32,6 +32,8 @@
         std::function<const ObjectIndex *()> index;
         std::function<bool()> isReady;
         std::function<bool()> isTakingWork;
+        /// Brings the gauges up to date before they are read.
+        std::function<void()> refreshGauges;
         /// Seconds since the epoch, for the field that callers' clients expect.
         std::function<std::int64_t()> wallClock;
     };
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -207,6 +207,7 @@
     hooks.index = [this] { return m_index.get(); };
     hooks.isReady = [this] { return isReady(); };
     hooks.isTakingWork = [this] { return m_drain->isTakingWork(); };
+    hooks.refreshGauges = [this] { refreshGauges(); };
     hooks.wallClock = &wallClockSeconds;
     m_callers = std::make_unique<CallersApi>(CallersApi::Options{m_settings.vm, m_incarnation},
                                              std::move(hooks), *m_services);
@@ -282,6 +283,35 @@
     m_drain = Drain::create(options, std::move(hooks), m_loop.timers());
 }
 
+void Node::refreshGauges()
+{
+    // A state that nobody is in any more has to read 0.
+    std::map<MemberState, std::size_t> members{{MemberState::Alive, 0},
+                                               {MemberState::Suspected, 0},
+                                               {MemberState::Left, 0},
+                                               {MemberState::Dead, 0}};
+    for (const Member &member : m_membership->members())
+        ++members[member.state];
+    for (const auto &[state, count] : members)
+        m_metrics.set("currantwalk_members", {{"state", std::string(memberStateName(state))}},
+                      static_cast<double>(count));
+    std::map<TargetState, std::size_t> targets{
+            {TargetState::Live, 0}, {TargetState::Leaving, 0}, {TargetState::Gone, 0}};
+    for (const Target *target : m_targets->all())
+        ++targets[target->state];
+    for (const auto &[state, count] : targets)
+        m_metrics.set("currantwalk_targets", {{"state", std::string(targetStateName(state))}},
+                      static_cast<double>(count));
+    const LogOffset version = m_config->current() ? m_config->current()->version : 0;
+    m_metrics.set("currantwalk_config_version", {}, static_cast<double>(version));
+    m_metrics.set("currantwalk_requests_in_progress", {},
+                  static_cast<double>(m_callers->requestsInProgress()));
+    m_metrics.set("currantwalk_requests_held", {}, static_cast<double>(m_dispatcher->waiting()));
+    m_metrics.set("currantwalk_control_bytes_sent", {}, static_cast<double>(m_peers.bytesSent()));
+    m_metrics.set("currantwalk_control_bytes_received", {},
+                  static_cast<double>(m_peers.bytesReceived()));
+}
+
 void Node::start()
 {
     m_membership->start();
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -91,6 +91,7 @@
     void createLimits();
     void createCalls();
     void createDrain();
+    void refreshGauges();
 
     void onVersion(const ConfigVersion &version);
     void onMember(const Member &member);
--- a/src/daemon/peerlink.h
+++ b/src/daemon/peerlink.h
@@ -31,6 +31,10 @@
     void askReaders(const std::vector<Member> &members, const GenerationId &generation,
                     const std::function<void(bool isRead)> &callback);
 
+    /// Returns the bytes of control traffic that this node began, both ways.
+    std::uint64_t bytesSent() const { return m_client->bytesSent(); }
+    std::uint64_t bytesReceived() const { return m_client->bytesReceived(); }
+
     RpcServer &server() { return *m_server; }
 
 private:
