Lint: widths of constants, the private part's name

Cause: clang-tidy over daemon, stand-in, base, routing and observe named 5 places. Conclusion: mended as far as reported.

--- a/src/daemon/callerformat.cpp
+++ b/src/daemon/callerformat.cpp
@@ -10,7 +10,7 @@
 
 static constexpr std::size_t MaxTokenLength = 128;
 static constexpr std::uint32_t MaxMaxTokens = 1000000;
-static constexpr std::int64_t MaxTimeoutMilliseconds = 24 * 3600 * 1000;
+static constexpr std::int64_t MaxTimeoutMilliseconds = std::int64_t{24} * 3600 * 1000;
 
 static absl::Status invalid(std::string_view detail)
 {
--- a/src/daemon/generationsession.cpp
+++ b/src/daemon/generationsession.cpp
@@ -9,7 +9,7 @@
 namespace currantwalk {
 
 /// Bytes that wait for a caller's connection before the call is told to hold back.
-static constexpr std::size_t MaxPendingBytes = 64 * 1024;
+static constexpr std::size_t MaxPendingBytes = std::size_t{64} * 1024;
 /// Longest time from a broken connection to the confirmed death of its target.
 static constexpr Duration DeathConfirmationTime = std::chrono::seconds(10);
 
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -11,7 +11,7 @@
 
 namespace currantwalk {
 
-static constexpr std::size_t MaxFetchedBytes = 8 * 1024 * 1024;
+static constexpr std::size_t MaxFetchedBytes = std::size_t{8} * 1024 * 1024;
 static constexpr std::size_t RememberedDecisions = 10000;
 static constexpr Duration VmListInterval = std::chrono::seconds(2);
 static constexpr Duration PrefixEventInterval = std::chrono::seconds(2);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -19,7 +19,7 @@
 {
     Endpoint listen;
     std::optional<TlsFiles> tls;
-    std::uint64_t maxBodyBytes = 4 * 1024 * 1024;
+    std::uint64_t maxBodyBytes = std::uint64_t{4} * 1024 * 1024;
     std::uint64_t maxConnections = 4096;
 };
 
--- a/src/daemon/targetlink.cpp
+++ b/src/daemon/targetlink.cpp
@@ -14,7 +14,7 @@
 static constexpr Duration ConnectTimeout = std::chrono::seconds(1);
 /// The life of a request is bounded by its own deadline; see GenerationCall.
 static constexpr Duration EngineIdleTimeout = std::chrono::hours(1);
-static constexpr std::size_t MaxErrorBodyBytes = 16 * 1024;
+static constexpr std::size_t MaxErrorBodyBytes = std::size_t{16} * 1024;
 
 static HttpCallOptions optionsFor(const Target &target)
 {
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -25,38 +25,38 @@
     return Buckets;
 }
 
-Metrics::Metrics() : d(std::make_unique<Private>()) {}
+Metrics::Metrics() : m_private(std::make_unique<Private>()) {}
 
 Metrics::~Metrics() = default;
 
 void Metrics::count(const std::string &name, const MetricLabels &labels, double amount)
 {
-    prometheus::Family<prometheus::Counter> *&family = d->counters[name];
+    prometheus::Family<prometheus::Counter> *&family = m_private->counters[name];
     if (!family)
-        family = &prometheus::BuildCounter().Name(name).Register(d->registry);
+        family = &prometheus::BuildCounter().Name(name).Register(m_private->registry);
     family->Add(labels).Increment(amount);
 }
 
 void Metrics::set(const std::string &name, const MetricLabels &labels, double value)
 {
-    prometheus::Family<prometheus::Gauge> *&family = d->gauges[name];
+    prometheus::Family<prometheus::Gauge> *&family = m_private->gauges[name];
     if (!family)
-        family = &prometheus::BuildGauge().Name(name).Register(d->registry);
+        family = &prometheus::BuildGauge().Name(name).Register(m_private->registry);
     family->Add(labels).Set(value);
 }
 
 void Metrics::observe(const std::string &name, const MetricLabels &labels, Duration value)
 {
-    prometheus::Family<prometheus::Histogram> *&family = d->histograms[name];
+    prometheus::Family<prometheus::Histogram> *&family = m_private->histograms[name];
     if (!family)
-        family = &prometheus::BuildHistogram().Name(name).Register(d->registry);
+        family = &prometheus::BuildHistogram().Name(name).Register(m_private->registry);
     const double seconds = std::chrono::duration<double>(value).count();
     family->Add(labels, secondsBuckets()).Observe(seconds);
 }
 
 std::string Metrics::exposition() const
 {
-    return prometheus::TextSerializer().Serialize(d->registry.Collect());
+    return prometheus::TextSerializer().Serialize(m_private->registry.Collect());
 }
 
 } // namespace currantwalk
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -28,7 +28,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_private;
 };
 
 } // namespace currantwalk
