Limits on heads, and malformed HTTP in both directions

Cause: a request or an answer may be malformed, cut off, oversized or slow. The library ends the program by an assertion when an answer's content-length or transfer-encoding is malformed, sets no limit to an answer's head, and takes the first of two content-lengths. Change: heads are checked before the library reads them. The client does not read its socket until the check is in place. Requests with two lengths, folded fields or a head beyond the listener's limit are refused, and the connection is closed. Errors that the library answers itself carry a typed error as JSON. Ruled out: a check after the head was parsed, since the assertion comes first. Conclusion: the library's own reader of heads must not see unchecked bytes of a target.

--- a/src/net/h2ocall.cpp
+++ b/src/net/h2ocall.cpp
@@ -4,10 +4,12 @@
 #include <cassert>
 #include <cctype>
 
+#include "net/messagehead.h"
+
 namespace currantwalk {
 
 // How soon to look again whether a long request has been written and the head is being read.
-static constexpr Duration HeadWatchInterval = std::chrono::milliseconds(5);
+static constexpr Duration HeadWatchInterval = std::chrono::milliseconds(1);
 
 namespace {
 
@@ -155,6 +157,7 @@
     armDeadline(m_options.headTimeout, [this] {
         fail(makeError(ErrorCode::DeadlineExceeded, "no answer within the head timeout"));
     });
+    h2o_socket_dont_read(m_client->sock, 1);
     armStep(Duration::zero(), &ClientExchange::watchHead);
     m_buffers[0] = h2o_iovec_init(m_head.data(), m_head.size());
     m_buffers[1] = h2o_iovec_init(m_request.body.data(), m_request.body.size());
@@ -162,8 +165,9 @@
     *bufferCount = m_request.body.empty() ? 1 : 2;
 }
 
-// The library sets no limit to an answer's head. Once it reads the head, its read callback is
-// wrapped in one that looks at how much has come.
+// The library sets no limit to an answer's head, and ends the program on some that are malformed.
+// Its read callback is therefore wrapped in one that looks at the head first. The callback is known
+// only once the request has been written; until then the socket is not read from.
 void ClientExchange::watchHead()
 {
     h2o_socket_t *const sock = m_client->sock;
@@ -172,6 +176,7 @@
         return;
     }
     m_readCallback = sock->_cb.read;
+    h2o_socket_dont_read(sock, 0);
     h2o_socket_read_start(sock, &ClientExchange::onHeadBytes);
 }
 
@@ -180,11 +185,12 @@
     auto *client = static_cast<h2o_http1client_t *>(socket->data);
     const std::shared_ptr<ClientExchange> self =
             static_cast<ClientExchange *>(client->data)->shared_from_this();
-    const h2o_socket_cb inner = self->m_readCallback;
-    inner(socket, error);
-    const bool isHeadPending = self->m_client && self->m_client->sock->_cb.read == &onHeadBytes;
-    if (isHeadPending && self->m_client->sock->input->size > self->m_context->maxHeadBytes)
-        self->fail(makeError(ErrorCode::TargetProtocol, "the answer's head is too large"));
+    const absl::Status status = checkResponseHead({socket->input->bytes, socket->input->size},
+                                                  self->m_context->maxHeadBytes);
+    if (status.ok())
+        self->m_readCallback(socket, error);
+    else
+        self->fail(status);
 }
 
 ClientExchange::BodyCallback ClientExchange::onHead(h2o_http1client_t *client, const char *error,
--- a/src/net/h2oserver.cpp
+++ b/src/net/h2oserver.cpp
@@ -6,6 +6,9 @@
 #include <netinet/tcp.h>
 #include <unistd.h>
 
+#include "net/messagehead.h"
+#include "net/refusalfilter.h"
+
 namespace currantwalk {
 
 // Connections taken in one round, so that a burst of them can't keep the others waiting.
@@ -58,7 +61,8 @@
     : m_loop(loop),
       m_timers(timers),
       m_handler(std::move(handler)),
-      m_maxConnections(options.maxConnections)
+      m_maxConnections(options.maxConnections),
+      m_maxHeadBytes(options.maxHeadBytes)
 {
     configure(options);
 }
@@ -73,6 +77,8 @@
     m_config.http1.upgrade_to_http2 = 0;
     h2o_hostconf_t *host =
             h2o_config_register_host(&m_config, h2o_iovec_init(H2O_STRLIT("default")), AnyPort);
+    // Requests that the library refuses itself have no path yet and come to this one.
+    registerRefusalFilter(&host->fallback_path);
     h2o_pathconf_t *path = h2o_config_register_path(host, "/", 0);
     auto *handler = reinterpret_cast<Handler *>(h2o_create_handler(path, sizeof(Handler)));
     handler->on_req = &H2oListener::onRequest;
@@ -167,10 +173,24 @@
     delete connection;
 }
 
+// The input buffer begins with the request's head until the answer has been sent.
+static std::string_view receivedBytes(const h2o_req_t &request)
+{
+    const h2o_buffer_t *input = request.conn->callbacks->get_socket(request.conn)->input;
+    return {input->bytes, input->size};
+}
+
 int H2oListener::onRequest(h2o_handler_t *handler, h2o_req_t *request)
 {
     H2oListener *listener = reinterpret_cast<Handler *>(handler)->listener;
-    listener->m_handler(ResponseStream::attach(request, listener->m_timers));
+    const absl::Status status = checkRequestHead(receivedBytes(*request), listener->m_maxHeadBytes);
+    if (!status.ok())
+        request->http1_is_persistent = 0;
+    std::shared_ptr<H2oExchange> exchange = ResponseStream::attach(request, listener->m_timers);
+    if (status.ok())
+        listener->m_handler(std::move(exchange));
+    else
+        respond(*exchange, httpStatus(errorCode(status)), "application/json", refusalBody(status));
     return 0;
 }
 
--- a/src/net/h2oserver.h
+++ b/src/net/h2oserver.h
@@ -51,6 +51,7 @@
     TimerService &m_timers;
     HttpHandler m_handler;
     std::size_t m_maxConnections;
+    std::size_t m_maxHeadBytes;
     Endpoint m_endpoint;
     std::unique_ptr<TlsContext> m_tls;
     h2o_globalconf_t m_config{};
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -87,9 +87,11 @@
 {
     Endpoint endpoint; ///< Port 0 asks the system for a free port.
     std::optional<TlsFiles> tls;
+    std::size_t maxHeadBytes = std::size_t{64} * 1024;
     std::size_t maxBodyBytes = std::size_t{4} * 1024 * 1024;
     std::size_t maxConnections = 4096;
-    Duration requestTimeout = std::chrono::seconds(10); ///< For a request to arrive whole.
+    /// For a request to arrive whole, and for a kept connection to wait for the next one.
+    Duration requestTimeout = std::chrono::seconds(10);
 };
 
 /// A server on the loop; listeners are separate so that callers, peers and operators are told
