Benchmark of the data path

Cause: the cost of reading and writing each event anew must be known against copying bytes with the HTTP library alone. Change: currantwalk-bench datapath runs a source, a forwarder and the readers of 1,000 streams on loops of their own in one thread, and takes the processor time and the heap of the forwarder's loop alone. The ways take turns; medians of five runs are printed.

--- a/tools/currantwalk-bench/main.cpp
+++ b/tools/currantwalk-bench/main.cpp
@@ -5,12 +5,13 @@
 #include <sysexits.h>
 
 #include "bench/command.h"
+#include "bench/datapath.h"
 #include "bench/policies.h"
 
 using namespace currantwalk;
 
 // The sub-commands, in the order of the help.
-static const std::vector<BenchCommand> Commands{PoliciesCommand};
+static const std::vector<BenchCommand> Commands{PoliciesCommand, DatapathCommand};
 
 static void printUsage(std::FILE *stream)
 {
