--- a/src/cli/publishing.cpp
+++ b/src/cli/publishing.cpp
@@ -118,6 +118,11 @@
     context.err << "publication " << params["publication_id"].asString() << " upon version "
                 << *base << '\n';
     const absl::StatusOr<Json::Value> answer = context.call("publish", params);
+    // The node may have published the set although its answer did not come.
+    if (!answer.ok() && errorCode(answer.status()) == ErrorCode::DeadlineExceeded)
+        return printFailure(context, makeError(ErrorCode::OutcomeUnknown,
+                                               "no answer in time; ask again with --publication-id "
+                                                       + params["publication_id"].asString()));
     if (!answer.ok())
         return printFailure(context, answer.status());
     const absl::StatusOr<bool> isAccepted = boolMember(*answer, "accepted");
--- a/src/cli/tests/clitest.cpp
+++ b/src/cli/tests/clitest.cpp
@@ -151,6 +151,14 @@
     CHECK(outHas("version: 1 -> 2"));
 }
 
+TEST(Commands, publishWithoutAnAnswerIsUnknown)
+{
+    answers.insert_or_assign("publish", makeError(ErrorCode::DeadlineExceeded, "late"));
+    CHECK_EQUAL(EX_IOERR,
+                run({"publish", Sample.c_str(), "--base", "7", "--publication-id", "x1"}));
+    CHECK(err.str().find("--publication-id x1") != std::string::npos);
+}
+
 TEST(Commands, publishOfAFaultySetCallsNobody)
 {
     const std::string services = Sample + "/services.toml";
