--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -1,5 +1,6 @@
 #include "daemon/settings.h"
 
+#include <algorithm>
 #include <charconv>
 #include <fstream>
 #include <set>
@@ -8,6 +9,8 @@
 #define TOML_ASSERT(expression)
 #include <toml++/toml.h>
 
+#include "routing/policy.h"
+
 namespace currantwalk {
 
 static constexpr std::size_t MinKeyBytes = 16;
@@ -125,6 +128,22 @@
         return result.value_or(fallback);
     }
 
+    std::string choice(const char *key, const std::string &fallback,
+                       const std::vector<std::string_view> &allowed)
+    {
+        const toml::node *node = find(key, false);
+        if (!node)
+            return fallback;
+        const std::string value = node->value_exact<std::string>().value_or("");
+        if (std::find(allowed.begin(), allowed.end(), value) != allowed.end())
+            return value;
+        std::string expected = "one of";
+        for (const std::string_view name : allowed)
+            expected.append(" ").append(name);
+        faultAt(*node, key, expected);
+        return fallback;
+    }
+
     /// Notes a fault for each key of the table that was not asked for.
     void refuseOthers()
     {
@@ -241,7 +260,7 @@
     drain.refuseOthers();
 
     TableReader routing(root, "routing", reading.faults);
-    settings.routingPolicy = routing.text("policy", settings.routingPolicy);
+    settings.routingPolicy = routing.choice("policy", settings.routingPolicy, routingPolicyNames());
     routing.refuseOthers();
 
     TableReader logs(root, "logs", reading.faults);
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -2,142 +2,105 @@
 
 #include <algorithm>
 #include <cassert>
-#include <optional>
 #include <utility>
 
 namespace currantwalk {
 
 /// Least time between two passes over the waiting, so that a burst of events costs one pass.
 static constexpr Duration PassInterval = std::chrono::milliseconds(2);
-/// Longest time between two passes while requests wait.
-static constexpr Duration MaxPassInterval = std::chrono::milliseconds(250);
-/// When to come back where nothing is known of when there will be a target.
-static constexpr Duration NoTargetRetryAfter = std::chrono::seconds(2);
+/// When to come back where the policy names no time.
+static constexpr Duration DefaultRetryAfter = std::chrono::seconds(2);
+
+static Placement refusal(const RoutingDecision &decision)
+{
+    const bool isWithoutTarget = decision.reason.rule == "no-target";
+    Placement placement;
+    placement.status = isWithoutTarget
+                               ? makeError(ErrorCode::NoTarget, "no target can take the request")
+                               : makeError(ErrorCode::Overloaded, "no room at any target");
+    placement.retryAfter =
+            decision.retryAfter > Duration(0) ? decision.retryAfter : DefaultRetryAfter;
+    placement.reason = decision.reason;
+    return placement;
+}
 
 Dispatcher::Dispatcher(RoutingPolicy &policy, Candidates candidates, TimerService &timers)
-    : m_policy(policy), m_candidates(std::move(candidates)), m_timers(timers)
+    : m_policy(policy), m_timers(timers)
 {
+    Admission::Hooks hooks;
+    hooks.candidates = std::move(candidates);
+    hooks.place = [this](const RoutingRequest &request, const RoutingDecision &decision) {
+        Placement placement;
+        placement.target = decision.target;
+        placement.reason = decision.reason;
+        answer(request.id, std::move(placement), true);
+    };
+    hooks.shed = [this](const RoutingRequest &request, const RoutingDecision &decision) {
+        answer(request.id, refusal(decision), false);
+    };
+    m_admission = Admission::create(policy, std::move(hooks), timers);
 }
 
 Dispatcher::~Dispatcher()
 {
-    m_timers.cancel(m_passTimer);
+    m_timers.cancel(m_changeTimer);
+    for (const auto &[ticket, waiter] : m_waiters)
+        m_timers.cancel(waiter.answerTimer);
 }
 
 TicketId Dispatcher::submit(RoutingRequest request, Callback callback)
 {
+    assert(!m_tickets.contains(request.id) && "a request waits once at a time");
     const TicketId ticket = ++m_lastTicket;
-    const Order order{request.priorityRank, ticket};
-    m_waiting.emplace(order, Waiter{std::move(request), std::move(callback)});
-    m_orders.emplace(ticket, order);
-    schedulePass(m_timers.now());
+    Waiter waiter;
+    waiter.request = request.id;
+    waiter.callback = std::move(callback);
+    waiter.arrivedAt = request.arrivedAt;
+    m_tickets.emplace(request.id, ticket);
+    m_waiters.emplace(ticket, std::move(waiter));
+    m_admission->submit(std::move(request));
     return ticket;
 }
 
+// A placement that nobody waits for any more gives back what it reserved.
 void Dispatcher::cancel(TicketId ticket)
 {
-    const auto it = m_orders.find(ticket);
-    if (it == m_orders.end())
+    const auto it = m_waiters.find(ticket);
+    if (it == m_waiters.end())
         return;
-    m_waiting.erase(it->second);
-    m_orders.erase(it);
+    const Waiter waiter = std::move(it->second);
+    m_tickets.erase(waiter.request);
+    m_waiters.erase(it);
+    m_timers.cancel(waiter.answerTimer);
+    if (waiter.isPlaced)
+        m_policy.onReleased(waiter.request, false, 0, m_timers.now());
+    else if (waiter.answerTimer == NoTimer)
+        m_admission->cancel(waiter.request);
 }
 
 void Dispatcher::onChange()
 {
-    if (!m_waiting.empty())
-        schedulePass(std::max(m_timers.now(), m_lastPass + PassInterval));
-}
-
-void Dispatcher::schedulePass(TimePoint when)
-{
-    if (m_passTimer != NoTimer && m_passAt <= when)
+    if (m_changeTimer != NoTimer || m_admission->held() == 0)
         return;
-    m_timers.cancel(m_passTimer);
-    m_passAt = when;
-    m_passTimer = m_timers.subscribeAt(when, [this] {
-        m_passTimer = NoTimer;
-        pass();
+    m_changeTimer = m_timers.subscribeAfter(PassInterval, [this] {
+        m_changeTimer = NoTimer;
+        m_admission->onChange();
     });
 }
 
-void Dispatcher::pass()
-{
-    m_lastPass = m_timers.now();
-    std::vector<Order> orders;
-    orders.reserve(m_waiting.size());
-    for (const auto &[order, waiter] : m_waiting)
-        orders.push_back(order);
-    // Callbacks may submit and cancel, so each ticket is looked up anew.
-    for (const Order &order : orders) {
-        if (m_waiting.contains(order))
-            tryPlace(order);
-    }
-    if (!m_waiting.empty())
-        schedulePass(m_timers.now() + MaxPassInterval);
-}
-
-// Another tier's room goes before a refusal; what the first tier said of waiting stands otherwise.
-RoutingDecision Dispatcher::decide(const RoutingRequest &request, const Tiers &tiers, TimePoint now)
-{
-    std::optional<RoutingDecision> first;
-    for (const std::vector<const Target *> &candidates : tiers) {
-        if (candidates.empty())
-            continue;
-        const RoutingDecision decision = m_policy.decide(request, candidates, now);
-        if (decision.verdict == RoutingVerdict::Place)
-            return decision;
-        if (!first)
-            first = decision;
-    }
-    assert(first && "a decision is asked for only where there are candidates");
-    return *first;
-}
-
-static bool isEmpty(const Dispatcher::Tiers &tiers)
-{
-    return std::all_of(tiers.begin(), tiers.end(),
-                       [](const std::vector<const Target *> &tier) { return tier.empty(); });
-}
-
-void Dispatcher::tryPlace(const Order &order)
-{
-    const TimePoint now = m_timers.now();
-    const RoutingRequest &request = m_waiting.at(order).request;
-    Placement placement;
-    placement.held = std::chrono::duration_cast<Duration>(now - request.arrivedAt);
-    const Tiers tiers = m_candidates(request);
-    const bool isTooLate = now >= request.holdUntil;
-    if (isEmpty(tiers)) {
-        // A request that excludes targets is better told at once: its call tries those again.
-        if (!isTooLate && request.excluded.empty())
-            return;
-        placement.status = makeError(ErrorCode::NoTarget, "no target can take the request");
-        placement.retryAfter = NoTargetRetryAfter;
-        return answer(order, std::move(placement));
-    }
-    const RoutingDecision decision = decide(request, tiers, now);
-    placement.reason = decision.reason;
-    if (decision.verdict == RoutingVerdict::Place) {
-        placement.target = decision.target;
-        m_policy.onPlaced(request, decision.target, now);
-        return answer(order, std::move(placement));
-    }
-    if (decision.verdict == RoutingVerdict::Hold && !isTooLate) {
-        if (decision.askAgainAt > now)
-            schedulePass(decision.askAgainAt);
-        return;
-    }
-    placement.status = makeError(ErrorCode::Overloaded, "no room at any target");
-    placement.retryAfter = std::max(decision.retryAfter, NoTargetRetryAfter);
-    answer(order, std::move(placement));
-}
-
-void Dispatcher::answer(const Order &order, Placement placement)
+void Dispatcher::answer(const RequestId &request, Placement placement, bool isPlaced)
 {
-    auto node = m_waiting.extract(order);
-    m_orders.erase(order.second);
-    node.mapped().callback(placement);
+    const auto ticket = m_tickets.find(request);
+    assert(ticket != m_tickets.end() && "only a waiting request is answered");
+    Waiter &waiter = m_waiters.at(ticket->second);
+    placement.held = std::chrono::duration_cast<Duration>(m_timers.now() - waiter.arrivedAt);
+    waiter.isPlaced = isPlaced;
+    waiter.answerTimer = m_timers.subscribeAfter(
+            Duration(0), [this, id = ticket->second, placement = std::move(placement)] {
+                auto node = m_waiters.extract(id);
+                m_tickets.erase(node.mapped().request);
+                node.mapped().callback(placement);
+            });
 }
 
 } // namespace currantwalk
