--- a/src/membership/gossipmembership.cpp
+++ b/src/membership/gossipmembership.cpp
@@ -9,6 +9,7 @@
 namespace currantwalk {
 
 constexpr std::uint32_t TicksPerInterval = 4;
+constexpr std::uint32_t TicksPerCleaning = 64 * TicksPerInterval;
 constexpr std::size_t IndirectProbes = 3;
 constexpr std::size_t SeedsWhileAlone = 3;
 constexpr double SeedChance = 0.2;  ///< Of contacting a lost seed or member in an interval.
@@ -82,7 +83,8 @@
         contactSeeds();
         beatHeart();
         checkReach();
-        m_table.forgetOld(m_timers.now());
+        if (m_ticks % TicksPerCleaning == 0)
+            m_table.forgetOld(m_timers.now());
         m_probes.forgetRelayedBefore(m_timers.now() - m_options.probeInterval);
     }
     m_tickDue = m_timers.now() + m_options.probeInterval / TicksPerInterval;
@@ -154,28 +156,36 @@
     const bool isEager = isAlone && m_timers.now() - m_startedAt < Alone;
     if (!isEager && !m_random.chance(SeedChance))
         return;
-    std::set<Endpoint> known;
-    std::vector<Endpoint> lost;
+    std::vector<Endpoint> asked = m_seeds;
+    for (const auto &[vm, member] : m_table.zone(m_self.zone)) {
+        if (member.state == MemberState::Dead)
+            asked.push_back(member.endpoint);
+    }
+    for (std::size_t i = 0; i < (isEager ? SeedsWhileAlone : 1) && !asked.empty(); ++i) {
+        std::swap(asked[m_random.below(asked.size())], asked.back());
+        if (isAlone || !isPresentAt(asked.back()))
+            contact(asked.back());
+        asked.pop_back();
+    }
+}
+
+bool GossipMembership::isPresentAt(const Endpoint &endpoint) const
+{
     for (const auto &[name, members] : m_table.zones()) {
         for (const auto &[vm, member] : members) {
-            if (isPresent(member))
-                known.insert(member.endpoint);
-            else if (member.state == MemberState::Dead && isOwnZone(member))
-                lost.push_back(member.endpoint);
+            if (isPresent(member) && member.endpoint == endpoint)
+                return true;
         }
     }
-    for (const Endpoint &seed : m_seeds) {
-        if (isAlone ? seed != m_self.endpoint : known.count(seed) == 0)
-            lost.push_back(seed);
-    }
-    for (std::size_t i = 0; i < (isEager ? SeedsWhileAlone : 1) && !lost.empty(); ++i) {
-        std::swap(lost[m_random.below(lost.size())], lost.back());
-        GossipMessage message = makeMessage(GossipMessageKind::Ping);
-        message.number = m_probes.begin({VmId(), 0});
-        message.updates.push_back(fullUpdate(m_self));
-        sendTo(lost.back(), true, message, MessageUrgency::Probe);
-        lost.pop_back();
-    }
+    return false;
+}
+
+void GossipMembership::contact(const Endpoint &endpoint)
+{
+    GossipMessage message = makeMessage(GossipMessageKind::Ping);
+    message.number = m_probes.begin({VmId(), 0});
+    message.updates.push_back(fullUpdate(m_self));
+    sendTo(endpoint, true, message, MessageUrgency::Probe);
 }
 
 void GossipMembership::beatHeart()
--- a/src/membership/gossipmembership.h
+++ b/src/membership/gossipmembership.h
@@ -52,6 +52,8 @@
     void updateLinks();
     void pingLinks();
     void contactSeeds();
+    void contact(const Endpoint &endpoint);
+    bool isPresentAt(const Endpoint &endpoint) const;
     void beatHeart();
     void checkReach();
 
--- a/src/membership/gossipqueue.cpp
+++ b/src/membership/gossipqueue.cpp
@@ -8,6 +8,7 @@
 namespace currantwalk {
 
 constexpr Duration MaxAge = std::chrono::seconds(20);
+constexpr Duration DropInterval = std::chrono::seconds(1);
 constexpr std::size_t MaxQueued = 1024; ///< Beyond it the table repair carries what is new.
 
 void GossipQueue::put(GossipKind kind, const std::string &key, Json::Value cell,
@@ -37,6 +38,9 @@
 // Nodes that are seldom spoken to from other zones would keep what is meant for those.
 void GossipQueue::dropOld(TimePoint now)
 {
+    if (now < m_dropDue)
+        return;
+    m_dropDue = now + DropInterval;
     std::erase_if(m_items, [now](const auto &entry) { return now - entry.second.putAt > MaxAge; });
 }
 
--- a/src/membership/gossipqueue.h
+++ b/src/membership/gossipqueue.h
@@ -47,6 +47,7 @@
     void dropOld(TimePoint now);
 
     std::map<std::string, Item> m_items;
+    TimePoint m_dropDue{};
 };
 
 } // namespace currantwalk
--- a/src/testing/memberfleet.cpp
+++ b/src/testing/memberfleet.cpp
@@ -2,8 +2,6 @@
 
 #include <cassert>
 
-#include "base/json.h"
-
 namespace currantwalk {
 
 TimerId PausableTimers::subscribeAt(TimePoint when, Callback callback)
@@ -72,10 +70,8 @@
     }
     Membership::Hooks hooks;
     hooks.send = [this, self](const Endpoint &to, const Json::Value &message) {
-        const std::size_t bytes = writeJson(message).size();
-        carry(*self, to, [message, bytes](Node &receiver) {
-            receiver.bytesReceived += bytes;
-            receiver.membership->onMessage(message);
+        carry(*self, to, [copy = std::make_shared<Json::Value>(message)](Node &receiver) {
+            receiver.membership->onMessage(*copy);
         });
     };
     hooks.onChange = [this, self](const Member &member) {
--- a/src/testing/memberfleet.h
+++ b/src/testing/memberfleet.h
@@ -63,7 +63,6 @@
         TimePoint versionAt{};
         bool isFetching = false;
         std::map<std::string, std::uint32_t> facts; ///< Times that each was given.
-        std::uint64_t bytesReceived = 0;
     };
 
     using ChangeObserver = std::function<void(const Node &node, const Member &member)>;
--- a/src/testing/targetfleet.cpp
+++ b/src/testing/targetfleet.cpp
@@ -111,14 +111,15 @@
 void TargetFleet::share(MemberFleet::Node &node, const Json::Value &digest)
 {
     const std::size_t bytes = writeJson(digest).size();
+    const auto copy = std::make_shared<Json::Value>(digest);
     for (const Member &peer : node.membership->aliveInZone(node.zone)) {
         if (peer.vm == node.vm)
             continue;
         m_digestBytes += bytes;
         ++m_digestMessages;
-        m_fleet.carry(node, peer.endpoint, [this, digest](MemberFleet::Node &receiver) {
+        m_fleet.carry(node, peer.endpoint, [this, copy](MemberFleet::Node &receiver) {
             if (m_tables.count(receiver.vm) > 0)
-                (void)m_tables.at(receiver.vm)->onDigest(digest);
+                (void)m_tables.at(receiver.vm)->onDigest(*copy);
         });
     }
 }
