--- a/src/daemon/tests/settingstest.cpp
+++ b/src/daemon/tests/settingstest.cpp
@@ -81,6 +81,8 @@
     checkFault(replaced("\"json\"", "\"xml\""), "logs.format", "text or json");
     checkFault(replaced("seeds = [\"127.0.0.2:8081\"]", "seeds = \"x\""), "peers.seeds",
                "an array");
+    checkFault(replaced("[drain]", "[routing]\npolicy = \"best\"\n[drain]"), "routing.policy",
+               "one of");
     checkFault(replaced("[vm]", "vm = 1\n[vms]"), "vm", "a table");
 }
 
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -3,12 +3,13 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
-#include <string>
+#include <memory>
+#include <unordered_map>
 #include <vector>
 
 #include "base/error.h"
 #include "base/timerservice.h"
+#include "routing/admission.h"
 #include "routing/policy.h"
 
 namespace currantwalk {
@@ -19,22 +20,19 @@
 /// The outcome of a wait.
 struct Placement
 {
-    absl::Status status; ///< NoTarget, Overloaded or DeadlineExceeded where nothing was found.
+    absl::Status status; ///< NoTarget or Overloaded where the request was refused.
     TargetId target;
     Duration retryAfter{0};
     Duration held{0}; ///< Time waited at the node.
     RoutingReason reason;
 };
 
-/// Holds requests at the node until the policy places or sheds them, in order of priority and then
-/// of arrival.
+/// Gives each waiting request its own answer from Admission, always from the loop.
 class Dispatcher
 {
 public:
     using Callback = std::function<void(const Placement &)>;
-    /// Candidates in tiers, best first: a later tier is asked only where the earlier have no room.
-    using Tiers = std::vector<std::vector<const Target *>>;
-    using Candidates = std::function<Tiers(const RoutingRequest &)>;
+    using Candidates = std::function<std::vector<const Target *>(const RoutingRequest &)>;
 
     /// \a policy and \a timers must outlive the dispatcher.
     Dispatcher(RoutingPolicy &policy, Candidates candidates, TimerService &timers);
@@ -44,37 +42,32 @@
     Dispatcher &operator=(const Dispatcher &) = delete;
 
     /// Calls \a callback once, later, unless cancelled. A placement has been told to the policy.
+    /// \pre no request of the same id waits.
     TicketId submit(RoutingRequest request, Callback callback);
     void cancel(TicketId ticket);
     /// Something changed that may make room; the waiting are asked for again soon.
     void onChange();
-    std::size_t waiting() const { return m_waiting.size(); }
+    std::size_t waiting() const { return m_waiters.size(); }
 
 private:
-    /// Order of service: by priority rank, then by ticket, that is by arrival.
-    using Order = std::pair<std::uint32_t, TicketId>;
-
     struct Waiter
     {
-        RoutingRequest request;
+        RequestId request;
         Callback callback;
+        TimePoint arrivedAt{};
+        TimerId answerTimer = NoTimer; ///< Set once the answer is known.
+        bool isPlaced = false;
     };
 
-    void schedulePass(TimePoint when);
-    void pass();
-    void tryPlace(const Order &order);
-    RoutingDecision decide(const RoutingRequest &request, const Tiers &tiers, TimePoint now);
-    void answer(const Order &order, Placement placement);
+    void answer(const RequestId &request, Placement placement, bool isPlaced);
 
     RoutingPolicy &m_policy;
-    Candidates m_candidates;
     TimerService &m_timers;
-    std::map<Order, Waiter> m_waiting;
-    std::map<TicketId, Order> m_orders;
+    std::unique_ptr<Admission> m_admission;
+    std::unordered_map<TicketId, Waiter> m_waiters;
+    std::unordered_map<RequestId, TicketId> m_tickets;
     TicketId m_lastTicket = 0;
-    TimerId m_passTimer = NoTimer;
-    TimePoint m_passAt{};
-    TimePoint m_lastPass{};
+    TimerId m_changeTimer = NoTimer;
 };
 
 } // namespace currantwalk
--- a/src/routing/tests/dispatchertest.cpp
+++ b/src/routing/tests/dispatchertest.cpp
@@ -1,8 +1,10 @@
+#include <memory>
 #include <string>
 #include <vector>
 
 #include "base/virtualtimerservice.h"
 #include "routing/dispatcher.h"
+#include "routing/zonepolicy.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -21,12 +23,15 @@
         decision.verdict = isShedding  ? RoutingVerdict::Shed
                            : slots > 0 ? RoutingVerdict::Place
                                        : RoutingVerdict::Hold;
-        decision.target = candidates.front()->id;
+        if (candidates.empty())
+            decision.verdict = RoutingVerdict::Hold;
+        else
+            decision.target = candidates.front()->id;
         return decision;
     }
     void onPlaced(const RoutingRequest &, const TargetId &, TimePoint) override { --slots; }
     void onToken(const RequestId &, std::uint32_t, TimePoint) override {}
-    void onReleased(const RequestId &, bool, std::uint32_t, TimePoint) override {}
+    void onReleased(const RequestId &, bool, std::uint32_t, TimePoint) override { ++slots; }
     void onLoad(const Target &, TimePoint) override {}
     void onCacheEvent(const TargetId &, std::uint64_t, bool) override {}
     void onTargetGone(const TargetId &) override {}
@@ -46,8 +51,8 @@
     bool isTargetThere = true;
     Dispatcher dispatcher{policy,
                           [this](const RoutingRequest &) {
-                              return isTargetThere ? Dispatcher::Tiers{{&target}}
-                                                   : Dispatcher::Tiers{};
+                              return isTargetThere ? std::vector<const Target *>{&target}
+                                                   : std::vector<const Target *>{};
                           },
                           timers};
     std::vector<std::string> order;
@@ -126,3 +131,68 @@
     CHECK(placements.empty());
     CHECK_EQUAL(0U, dispatcher.waiting());
 }
+
+TEST(Dispatcher, placementCancelledBeforeItsAnswerIsGivenBack)
+{
+    policy.slots = 1;
+    const TicketId ticket = submit("a", 0);
+    CHECK_EQUAL(0, policy.slots);
+    dispatcher.cancel(ticket);
+    CHECK_EQUAL(1, policy.slots);
+    timers.advance(1s);
+    CHECK(placements.empty());
+}
+
+TEST_GROUP(ZonePolicy)
+{
+    /// Has room in one zone alone.
+    struct RoomInZone : SlotPolicy
+    {
+        RoutingDecision decide(const RoutingRequest &request,
+                               const std::vector<const Target *> &candidates,
+                               TimePoint now) override
+        {
+            slots = candidates.front()->zone == zone ? 1 : 0;
+            return SlotPolicy::decide(request, candidates, now);
+        }
+        std::string zone;
+    };
+
+    Target local;
+    Target remote;
+    RoomInZone *inner = new RoomInZone;
+    std::unique_ptr<RoutingPolicy> policy =
+            createZonePolicy(std::unique_ptr<RoutingPolicy>(inner), "a");
+
+    void setup() override
+    {
+        local.id = TargetId("local");
+        local.zone = "a";
+        remote.id = TargetId("remote");
+        remote.zone = "b";
+    }
+
+    RoutingDecision decide(const std::vector<const Target *> &candidates,
+                           const RoutingRequest &request = {})
+    {
+        return policy->decide(request, candidates, TimePoint());
+    }
+};
+
+TEST(ZonePolicy, prefersItsOwnZoneAndSpillsWhenThatIsFull)
+{
+    inner->zone = "a";
+    STRCMP_EQUAL("local", decide({&remote, &local}).target.text().c_str());
+    inner->zone = "b";
+    STRCMP_EQUAL("remote", decide({&remote, &local}).target.text().c_str());
+    inner->zone = "c";
+    CHECK(decide({&remote, &local}).verdict == RoutingVerdict::Hold);
+}
+
+TEST(ZonePolicy, withoutTargetsHoldsUnlessTheRequestExcludesSome)
+{
+    CHECK(decide({}).verdict == RoutingVerdict::Hold);
+    RoutingRequest request;
+    request.excluded = {TargetId("local")};
+    CHECK(decide({}, request).verdict == RoutingVerdict::Shed);
+}
