--- /dev/null
+++ b/src/bench/stateslopes.cpp
@@ -0,0 +1,100 @@
+// State kept for each peer, target and object.
+#include <functional>
+
+#include "base/virtualtimerservice.h"
+#include "bench/slope.h"
+#include "config/objects.h"
+#include "membership/membertable.h"
+#include "targets/targettable.h"
+
+namespace currantwalk {
+
+static Slope::Point heapOf(std::size_t size, const std::function<void()> &fill)
+{
+    const double before = heapBytes();
+    fill();
+    return {static_cast<double>(size), heapBytes() - before};
+}
+
+static Slope measurePeers()
+{
+    Slope slope{"state of a peer", "peers", "bytes", {}};
+    for (const std::size_t size : {60U, 330U, 1320U}) {
+        MemberTable table;
+        slope.points.push_back(heapOf(size, [&] {
+            for (std::size_t i = 0; i < size; ++i) {
+                const Member member{VmId("entry-vm-" + std::to_string(i)),
+                                    "zone-" + std::to_string(i % 27),
+                                    {"10.12.130." + std::to_string(i % 250), 7000},
+                                    1'700'000'000,
+                                    MemberState::Alive,
+                                    7,
+                                    {}};
+                table.put(member);
+            }
+        }));
+    }
+    return slope;
+}
+
+static Slope measureTargetTable()
+{
+    Slope slope{"state of a target", "targets", "bytes", {}};
+    for (const std::size_t size : {41U, 275U, 1100U}) {
+        VirtualTimerService timers;
+        TargetTable::Options options;
+        options.zone = "zone-1";
+        const auto ignore = [](const auto &) {};
+        TargetTable::Hooks hooks{
+                ignore, [](const TargetId &) { return true; }, ignore, ignore, ignore, ignore};
+        const std::unique_ptr<TargetTable> table = TargetTable::create(options, hooks, timers);
+        std::vector<ListedTarget> list;
+        std::vector<TargetReport> reports;
+        for (std::size_t i = 0; i < size; ++i) {
+            const TargetId id("model-server-" + std::to_string(i));
+            list.push_back({id,
+                            TargetKind::Engine,
+                            {"10.12.130.17", 9000},
+                            "zone-" + std::to_string(i % 27),
+                            "engines",
+                            false});
+            TargetReport report;
+            report.id = id;
+            report.incarnation = 1;
+            report.models = {{"assistant-large", "7"}, {"assistant-small", "3"}};
+            reports.push_back(report);
+        }
+        slope.points.push_back(heapOf(size, [&] {
+            table->onList(list);
+            for (const TargetReport &report : reports)
+                table->onReport(report);
+        }));
+    }
+    return slope;
+}
+
+static Slope measureObjects()
+{
+    Slope slope{"state of an organisation object", "organisations", "bytes", {}};
+    for (const std::size_t size : {1000U, 4000U, 14000U}) {
+        ObjectSet objects;
+        slope.points.push_back(heapOf(size, [&] {
+            for (std::size_t i = 0; i < size; ++i) {
+                OrganisationObject organisation;
+                organisation.name = "organisation-" + std::to_string(i);
+                organisation.keyHashes = {std::string(64, 'a')};
+                organisation.priority = "standard";
+                organisation.limit = "standard";
+                objects.organisations[organisation.name] = organisation;
+            }
+        }));
+    }
+    return slope;
+}
+
+std::vector<Slope> measureState()
+{
+    return {measurePeers(), measureTargetTable(), measureObjects()};
+}
+
+} // namespace currantwalk
--- a/src/targets/targetmessages.cpp
+++ b/src/targets/targetmessages.cpp
@@ -8,11 +8,11 @@
 namespace currantwalk {
 
 // A digest is {"r":[row...]}; a row is an array, as keys would be most of its bytes:
-// [id, incarnation, age in ms, state, running, waiting, used, capacity, preemptions, generated,
-// tag of the models, models]. A row without load ends after the state, one whose models the zone
-// knows after the tag. States are 0 live, 1 leaving, 2 gone.
+// [id, incarnation, age in ms, state, running, waiting, used, preemptions, generated, tag,
+// capacity, models]. A row without load ends after the state, one whose capacity and models the
+// zone knows by their tag after that. States are 0 live, 1 leaving, 2 gone.
 constexpr Json::ArrayIndex StateCells = 4;
-constexpr Json::ArrayIndex LoadCells = 11;
+constexpr Json::ArrayIndex LoadCells = 10;
 constexpr Json::ArrayIndex ModelsCells = 12;
 constexpr std::uint32_t TagMask = 0xFFFF;
 constexpr std::uint64_t MaxAgeMs = 24ULL * 60 * 60 * 1000;
@@ -33,9 +33,9 @@
     return std::chrono::milliseconds(static_cast<std::int64_t>(std::min(ms, MaxAgeMs)));
 }
 
-std::uint32_t modelsTag(const std::vector<LoadedModel> &models)
+std::uint32_t modelsTag(const std::vector<LoadedModel> &models, std::uint64_t capacityTokens)
 {
-    std::string text;
+    std::string text = std::to_string(capacityTokens);
     for (const LoadedModel &model : models)
         text.append(model.name).append("\n").append(model.version).append("\n");
     return static_cast<std::uint32_t>(stableHash(text)) & TagMask;
@@ -63,12 +63,13 @@
     cells.append(row.load.running);
     cells.append(row.load.waiting);
     cells.append(Json::Value::UInt64(row.load.usedTokens));
-    cells.append(Json::Value::UInt64(row.load.capacityTokens));
     cells.append(Json::Value::UInt64(row.load.preemptions));
     cells.append(Json::Value::UInt64(row.load.generatedTokens));
     cells.append(row.modelsTag);
-    if (row.hasModels)
-        cells.append(writeModels(row.models));
+    if (!row.hasModels)
+        return cells;
+    cells.append(Json::Value::UInt64(row.load.capacityTokens));
+    cells.append(writeModels(row.models));
     return cells;
 }
 
@@ -113,16 +114,15 @@
 static bool readLoad(const Json::Value &cells, DigestRow &row)
 {
     if (!areUnsigned(cells, StateCells, LoadCells) || !cells[4].isUInt() || !cells[5].isUInt()
-        || !cells[10].isUInt())
+        || !cells[9].isUInt())
         return false;
     row.hasLoad = true;
     row.load.running = cells[4].asUInt();
     row.load.waiting = cells[5].asUInt();
     row.load.usedTokens = cells[6].asUInt64();
-    row.load.capacityTokens = cells[7].asUInt64();
-    row.load.preemptions = cells[8].asUInt64();
-    row.load.generatedTokens = cells[9].asUInt64();
-    row.modelsTag = cells[10].asUInt();
+    row.load.preemptions = cells[7].asUInt64();
+    row.load.generatedTokens = cells[8].asUInt64();
+    row.modelsTag = cells[9].asUInt();
     return true;
 }
 
@@ -148,7 +148,10 @@
     absl::StatusOr<std::vector<LoadedModel>> models = readModels(cells[11]);
     if (!models.ok())
         return models.status();
+    if (!cells[10].isUInt64())
+        return rowError("digest row: wrong type of the capacity");
     row.hasModels = true;
+    row.load.capacityTokens = cells[10].asUInt64();
     row.models = *std::move(models);
     return row;
 }
--- a/src/targets/targetmessages.h
+++ b/src/targets/targetmessages.h
@@ -20,7 +20,8 @@
     bool hasLoad = false;
     TargetLoad load; ///< Without reportedAt.
     std::uint32_t modelsTag = 0;
-    bool hasModels = false; ///< Models are sent when they changed; else their tag tells them.
+    /// Capacity and models are sent when they changed; else their tag tells them.
+    bool hasModels = false;
     std::vector<LoadedModel> models;
 };
 
@@ -33,8 +34,8 @@
     Duration age{0};
 };
 
-/// Returns a short hash of the loaded models, alike on all nodes.
-std::uint32_t modelsTag(const std::vector<LoadedModel> &models);
+/// Returns a short hash of what a target seldom changes, alike on all nodes.
+std::uint32_t modelsTag(const std::vector<LoadedModel> &models, std::uint64_t capacityTokens);
 
 Json::Value writeDigest(const std::vector<DigestRow> &rows);
 /// Fails with JsonInvalid, and then takes no row.
--- a/src/targets/targettable.h
+++ b/src/targets/targettable.h
@@ -49,8 +49,13 @@
         Duration probeInterval = std::chrono::seconds(1);
         Duration probeTimeout = std::chrono::milliseconds(700);
         std::uint32_t probeFailuresToDie = 3;
-        /// Between two digest rows of one target, whichever node sends them.
+        /// Between two digest rows of one target, whichever node sends them: at least this, and
+        /// longer in zones with many targets.
         Duration shareInterval = std::chrono::seconds(1);
+        Duration shareIntervalForEachTarget = std::chrono::milliseconds(40);
+        /// Before the first digest. Should differ from node to node, so that the watchers of a
+        /// target don't send the same row at the same time.
+        Duration sharePhase{0};
         /// A report older than this makes a node that is no watcher ask for itself.
         Duration staleAfter = std::chrono::seconds(5);
         /// Between probes of the watched targets of other zones.
--- a/src/targets/watchedtargettable.cpp
+++ b/src/targets/watchedtargettable.cpp
@@ -32,7 +32,7 @@
 {
     chooseWatched();
     probeTick();
-    shareTick();
+    scheduleShare(m_options.sharePhase);
 }
 
 void WatchedTargetTable::onList(const std::vector<ListedTarget> &list)
@@ -274,13 +274,12 @@
                                            [this] { probeTick(); });
 }
 
-bool WatchedTargetTable::isShareDue(const Entry &entry) const
+bool WatchedTargetTable::isShareDue(const Entry &entry, Duration interval) const
 {
     if (!entry.isReportFresh || !entry.isWatched)
         return false;
     const bool isPlain = entry.record.target().kind == TargetKind::Plain;
-    const Duration period =
-            isPlain ? m_options.shareInterval * PlainShareFactor : m_options.shareInterval;
+    const Duration period = isPlain ? interval * PlainShareFactor : interval;
     // Two watchers take turns by chance: a row that the other has just sent is not due here.
     return m_timers.now() - entry.sharedAt >= period * 9 / 10;
 }
@@ -288,9 +287,10 @@
 void WatchedTargetTable::shareTick()
 {
     chooseWatched();
+    const Duration interval = shareInterval();
     std::vector<DigestRow> rows;
     for (auto &[id, known] : m_entries) {
-        if (!isShareDue(known))
+        if (!isShareDue(known, interval))
             continue;
         rows.push_back(makeRow(known));
         markShared(known, rows.back());
@@ -299,7 +299,24 @@
     if (!rows.empty())
         m_hooks.shareInZone(writeDigest(rows));
     forgetOld();
-    m_shareTimer = m_timers.subscribeAfter(m_options.shareInterval, [this] { shareTick(); });
+    scheduleShare(interval);
+}
+
+void WatchedTargetTable::scheduleShare(Duration delay)
+{
+    m_shareTimer = m_timers.subscribeAfter(delay, [this] { shareTick(); });
+}
+
+// Digests of a zone grow with its nodes and its targets; this keeps a node's bytes a second
+// bounded.
+Duration WatchedTargetTable::shareInterval() const
+{
+    const auto ownTargets =
+            std::count_if(m_entries.begin(), m_entries.end(), [this](const auto &item) {
+                return isOwnZone(item.second) && item.second.record.isListed();
+            });
+    return std::max(m_options.shareInterval,
+                    m_options.shareIntervalForEachTarget * static_cast<int>(ownTargets));
 }
 
 DigestRow WatchedTargetTable::makeRow(const Entry &entry) const
@@ -318,7 +335,7 @@
         return row;
     row.hasLoad = true;
     row.load = target.load;
-    row.modelsTag = modelsTag(target.models);
+    row.modelsTag = modelsTag(target.models, target.load.capacityTokens);
     row.hasModels = !entry.hasSharedModels || entry.sharedTag != row.modelsTag;
     row.models = target.models;
     return row;
@@ -360,13 +377,15 @@
     report.load.reportedAt = m_timers.now() - row.age;
     report.models = row.models;
     if (row.hasLoad && !row.hasModels) {
-        const bool isKnown = entry.record.isReported() && target.incarnation == row.incarnation
-                             && modelsTag(target.models) == row.modelsTag;
+        const bool isKnown =
+                entry.record.isReported() && target.incarnation == row.incarnation
+                && modelsTag(target.models, target.load.capacityTokens) == row.modelsTag;
         if (!isKnown) {
             entry.isProbeWanted = row.incarnation >= target.incarnation;
             return;
         }
         report.models = target.models;
+        report.load.capacityTokens = target.load.capacityTokens;
     }
     const bool isChanged = entry.record.applyReport(report, m_timers.now());
     publish(entry, isChanged, Source::Peer, before);
--- a/src/targets/watchedtargettable.h
+++ b/src/targets/watchedtargettable.h
@@ -64,8 +64,10 @@
     void failProbe(Entry &entry);
     void probeTick();
     void shareTick();
+    void scheduleShare(Duration delay);
+    Duration shareInterval() const;
     void forgetOld();
-    bool isShareDue(const Entry &entry) const;
+    bool isShareDue(const Entry &entry, Duration interval) const;
     DigestRow makeRow(const Entry &entry) const;
     void markShared(Entry &entry, const DigestRow &row);
     void applyRow(const DigestRow &row);
--- a/src/testing/targetfleet.cpp
+++ b/src/testing/targetfleet.cpp
@@ -34,6 +34,7 @@
 {
     TargetTable::Options options;
     options.zone = node.zone;
+    options.sharePhase = node.random->jitter(options.shareInterval);
     TargetTable::Hooks hooks;
     hooks.probe = [this, &node](const Target &target) { probe(node, target.id); };
     hooks.isWatcher = [&node](const TargetId &target) {
--- a/tools/currantwalk-bench/main.cpp
+++ b/tools/currantwalk-bench/main.cpp
@@ -6,11 +6,12 @@
 
 #include "bench/command.h"
 #include "bench/policies.h"
+#include "bench/slopes.h"
 
 using namespace currantwalk;
 
 // The sub-commands, in the order of the help.
-static const std::vector<BenchCommand> Commands{PoliciesCommand};
+static const std::vector<BenchCommand> Commands{PoliciesCommand, SlopesCommand};
 
 static void printUsage(std::FILE *stream)
 {
