Simulated engines share their answers; lint

Cause: the analyser took copied callbacks in a closure for a leak, and two functions set up exchanges alike. Change: the answers are shared, the set-up is one function.

--- a/src/calls/tests/simdaemon.cpp
+++ b/src/calls/tests/simdaemon.cpp
@@ -199,14 +199,14 @@
     return hooks;
 }
 
-EngineAnswers SimDaemon::engineAnswers(CallId id, std::uint64_t exchange)
+EngineAnswersPtr SimDaemon::engineAnswers(CallId id, std::uint64_t exchange)
 {
-    EngineAnswers answers;
-    answers.opened = [this, id, exchange](const GenerationId &generation) {
+    auto answers = std::make_shared<EngineAnswers>();
+    answers->opened = [this, id, exchange](const GenerationId &generation) {
         m_generating.at(id).call->onOpened(exchange, generation);
         m_world.onStep(SimStep::Opened);
     };
-    answers.token = [this, id, exchange](std::uint32_t position, const std::string &text) {
+    answers->token = [this, id, exchange](std::uint32_t position, const std::string &text) {
         Generating &row = m_generating.at(id);
         row.call->onToken(exchange, position, text);
         if (position == 0)
@@ -216,25 +216,33 @@
         if (position + 1 == row.tokens)
             m_world.onStep(SimStep::LastToken);
     };
-    answers.finished = [this, id, exchange](std::uint32_t tokens, FinishReason reason) {
+    answers->finished = [this, id, exchange](std::uint32_t tokens, FinishReason reason) {
         m_generating.at(id).call->onFinished(exchange, tokens, reason);
     };
-    answers.failed = [this, id, exchange](const absl::Status &status) {
+    answers->failed = [this, id, exchange](const absl::Status &status) {
         m_generating.at(id).call->onExchangeFailed(exchange, status, true);
     };
     return answers;
 }
 
-void SimDaemon::openExchange(CallId id, std::uint64_t exchange, const GenerationAttempt &attempt)
+ConnectionPtr SimDaemon::beginExchange(CallId id, std::uint64_t exchange, const SimEngine &target)
 {
-    Generating &row = m_generating.at(id);
-    SimEngine &target = engine(attempt.target);
     const ConnectionPtr opened = connection(target.place);
-    row.connections[exchange] = opened;
     opened->onBroken = [this, id, exchange](const absl::Status &status, bool wasSent) {
         m_generating.at(id).call->onExchangeFailed(exchange, status, wasSent);
     };
-    opened->onCrossed = [this, id] { m_generating.at(id).call->onToken(1000000, 0, "other"); };
+    opened->onCrossed = [this, id] {
+        m_generating.at(id).call->onToken(NoSuchExchange, 0, "other");
+    };
+    m_generating.at(id).connections[exchange] = opened;
+    return opened;
+}
+
+void SimDaemon::openExchange(CallId id, std::uint64_t exchange, const GenerationAttempt &attempt)
+{
+    const Generating &row = m_generating.at(id);
+    SimEngine &target = engine(attempt.target);
+    const ConnectionPtr opened = beginExchange(id, exchange, target);
     m_world.network->connect(
             opened, [&target] { return target.isAlive; },
             [&target, opened, attempt, tag = row.call->request().id.text(), tokens = row.tokens,
@@ -248,14 +256,8 @@
                                std::uint32_t from)
 {
     ++m_resumes;
-    Generating &row = m_generating.at(id);
     SimEngine &target = engine(generation.target);
-    const ConnectionPtr opened = connection(target.place);
-    row.connections[exchange] = opened;
-    opened->onBroken = [this, id, exchange](const absl::Status &status, bool wasSent) {
-        m_generating.at(id).call->onExchangeFailed(exchange, status, wasSent);
-    };
-    opened->onCrossed = [this, id] { m_generating.at(id).call->onToken(1000000, 0, "other"); };
+    const ConnectionPtr opened = beginExchange(id, exchange, target);
     m_world.network->connect(
             opened, [&target] { return target.isAlive; },
             [&target, opened, generation, from, answers = engineAnswers(id, exchange)] {
--- a/src/calls/tests/simdaemon.h
+++ b/src/calls/tests/simdaemon.h
@@ -113,7 +113,10 @@
         std::map<std::uint64_t, ConnectionPtr> connections;
     };
 
+    static constexpr std::uint64_t NoSuchExchange = 1000000;
+
     ConnectionPtr connection(const SimPlace &target);
+    ConnectionPtr beginExchange(CallId id, std::uint64_t exchange, const SimEngine &target);
     SimEngine &engine(const TargetId &id);
     SimService &service(const TargetId &id);
     SimTarget *pickEngine(const std::vector<TargetId> &excluded);
@@ -122,7 +125,7 @@
     bool isSeenLive(const SimTarget &target) const;
 
     GenerationHooks generationHooks(CallId id);
-    EngineAnswers engineAnswers(CallId id, std::uint64_t exchange);
+    EngineAnswersPtr engineAnswers(CallId id, std::uint64_t exchange);
     void openExchange(CallId id, std::uint64_t exchange, const GenerationAttempt &attempt);
     void resumeExchange(CallId id, std::uint64_t exchange, const GenerationId &generation,
                         std::uint32_t from);
--- a/src/calls/tests/simplain.cpp
+++ b/src/calls/tests/simplain.cpp
@@ -104,7 +104,7 @@
         PlainResponse other;
         other.status = 200;
         other.body = "other";
-        m_plain.at(id).call->onResponse(1000000, other);
+        m_plain.at(id).call->onResponse(NoSuchExchange, other);
     };
     const auto answer = [this, id, exchange](const PlainResponse &response) {
         m_plain.at(id).call->onResponse(exchange, response);
--- a/src/calls/tests/simtargets.cpp
+++ b/src/calls/tests/simtargets.cpp
@@ -30,7 +30,7 @@
 }
 
 void SimEngine::open(const ConnectionPtr &connection, const std::string &attempt,
-                     const std::string &tag, std::uint32_t tokens, const EngineAnswers &answers)
+                     const std::string &tag, std::uint32_t tokens, const EngineAnswersPtr &answers)
 {
     for (const auto &[number, generation] : m_generations) {
         if (generation.attempt == attempt)
@@ -38,7 +38,7 @@
     }
     if (isLeaving || m_network.random.chance(refusalChance)) {
         m_network.answer(connection, [answers] {
-            answers.failed(makeError(ErrorCode::TargetBusy, "no room for a generation"));
+            answers->failed(makeError(ErrorCode::TargetBusy, "no room for a generation"));
         });
         return;
     }
@@ -50,7 +50,7 @@
 }
 
 void SimEngine::resume(const ConnectionPtr &connection, const GenerationId &generation,
-                       std::uint32_t from, const EngineAnswers &answers)
+                       std::uint32_t from, const EngineAnswersPtr &answers)
 {
     const auto it = m_generations.find(generation.number);
     const bool isKnown = generation.incarnation == incarnation && it != m_generations.end()
@@ -58,7 +58,7 @@
     if (isKnown)
         return attach(generation.number, from, Reader{connection, answers});
     m_network.answer(connection, [answers] {
-        answers.failed(makeError(ErrorCode::NotFound, "no such generation"));
+        answers->failed(makeError(ErrorCode::NotFound, "no such generation"));
     });
 }
 
@@ -66,11 +66,11 @@
 {
     Generation &generation = m_generations.at(number);
     const GenerationId id{this->id(), incarnation, number};
-    m_network.answer(reader.connection, [reader, id] { reader.answers.opened(id); });
+    m_network.answer(reader.connection, [reader, id] { reader.answers->opened(id); });
     for (std::uint32_t position = from; position < generation.produced; ++position) {
         const std::string token = text(generation, number, position);
         m_network.answer(reader.connection,
-                         [reader, position, token] { reader.answers.token(position, token); });
+                         [reader, position, token] { reader.answers->token(position, token); });
     }
     if (generation.produced == generation.tokens)
         return sendEnd(generation, reader);
@@ -80,7 +80,7 @@
 void SimEngine::sendEnd(const Generation &generation, const Reader &reader)
 {
     m_network.answer(reader.connection, [reader, tokens = generation.tokens] {
-        reader.answers.finished(tokens, FinishReason::Stop);
+        reader.answers->finished(tokens, FinishReason::Stop);
     });
 }
 
@@ -103,7 +103,7 @@
     const bool isLast = generation.produced == generation.tokens;
     for (const Reader &reader : generation.readers) {
         m_network.answer(reader.connection,
-                         [reader, position, token] { reader.answers.token(position, token); });
+                         [reader, position, token] { reader.answers->token(position, token); });
         if (isLast)
             sendEnd(generation, reader);
     }
--- a/src/calls/tests/simtargets.h
+++ b/src/calls/tests/simtargets.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -41,6 +42,8 @@
     std::function<void(const absl::Status &)> failed;
 };
 
+using EngineAnswersPtr = std::shared_ptr<const EngineAnswers>;
+
 /// An engine that runs generations, idempotently by attempt id.
 class SimEngine : public SimTarget
 {
@@ -52,9 +55,9 @@
 
     /// \a tag names the request in the text of its tokens.
     void open(const ConnectionPtr &connection, const std::string &attempt, const std::string &tag,
-              std::uint32_t tokens, const EngineAnswers &answers);
+              std::uint32_t tokens, const EngineAnswersPtr &answers);
     void resume(const ConnectionPtr &connection, const GenerationId &generation, std::uint32_t from,
-                const EngineAnswers &answers);
+                const EngineAnswersPtr &answers);
     absl::Status cancel(const std::string &attempt, const std::optional<GenerationId> &generation);
     void kill(SimNetwork &network, bool isSilent) override;
 
@@ -68,7 +71,7 @@
     struct Reader
     {
         ConnectionPtr connection;
-        EngineAnswers answers;
+        EngineAnswersPtr answers;
     };
 
     struct Generation
