A request that loses its engine is a suspect at once

Cause: a request moves on 0.4 s after its engine died, and probes confirm a death after 3 s; by then a request that crashes its engines had ended several. An engine back within milliseconds was sent the same attempt again until 5 s had passed. Change: the loss counts as a death for the request itself, once with the confirmed one; two lost sends of an attempt end it at that target. Ruled out: faster probes (they cost messages and still come later than the next attempt).

--- a/src/calls/generationmachine.h
+++ b/src/calls/generationmachine.h
@@ -112,6 +112,7 @@
 
     std::uint32_t m_tries = 0;           // Since the last progress.
     std::uint32_t m_connectFailures = 0; // In a row.
+    std::uint32_t m_sendsLost = 0;       // Of this attempt, before the engine named the generation.
     std::uint32_t m_stalls = 0;
     std::optional<TimePoint> m_troubleSince;
     TimerId m_timer = NoTimer; // Of the state: backoff, stall or resume window.
--- a/src/calls/generationrecovery.cpp
+++ b/src/calls/generationrecovery.cpp
@@ -12,6 +12,9 @@
 // Refusals to connect, in a row, after which a target is taken to be dead if another can take over.
 static constexpr std::uint32_t MaxConnectFailures = 4;
 
+// Sends of one attempt, each lost, after which the request may be what ends the engine.
+static constexpr std::uint32_t MaxSendsLost = 2;
+
 // The engine answered and says that it has no such generation, nor will it have.
 static bool isGenerationForgotten(ErrorCode code)
 {
@@ -70,8 +73,12 @@
         m_fate = AttemptFate::NotRun;
         return fail(status);
     }
-    if (wasSent)
+    if (wasSent) {
         m_fate = AttemptFate::MayRun;
+        ++m_sendsLost;
+    }
+    if (m_sendsLost >= MaxSendsLost && isRestartable())
+        return lose(status, true);
     if (m_fate == AttemptFate::MayRun)
         return recover(status);
     onRefused(status);
@@ -170,6 +177,7 @@
     m_isPaused = false;
     m_tries = 0;
     m_connectFailures = 0;
+    m_sendsLost = 0;
     m_stalls = 0;
     m_troubleSince.reset();
     if (m_state != GenerationState::Recovering)
--- a/src/calls/poisontracker.cpp
+++ b/src/calls/poisontracker.cpp
@@ -48,6 +48,8 @@
     void onRunning(std::uint64_t fingerprint, const TargetId &target,
                    Incarnation incarnation) override;
     void onReleased(std::uint64_t fingerprint, const TargetId &target, bool isComplete) override;
+    void onLost(std::uint64_t fingerprint, const TargetId &target,
+                Incarnation incarnation) override;
     void onTargetDied(const TargetId &target, Incarnation incarnation) override;
     void onReport(const PoisonReport &report) override;
     void clear(std::uint64_t fingerprint) override { m_records.erase(fingerprint); }
@@ -140,6 +142,17 @@
     return runs;
 }
 
+// The next attempt begins long before probes confirm a death, and must find the suspicion then.
+void PoisonTable::onLost(std::uint64_t fingerprint, const TargetId &target, Incarnation incarnation)
+{
+    const auto runs = m_runs.find(target);
+    const std::size_t running = runs == m_runs.end() ? 0 : runs->second.size();
+    if (!addDeath(fingerprint, Death{target, incarnation}))
+        return;
+    const auto neighbours = static_cast<std::uint32_t>(running > 0 ? running - 1 : 0);
+    m_announce(PoisonReport{fingerprint, target, incarnation, neighbours});
+}
+
 void PoisonTable::onTargetDied(const TargetId &target, Incarnation incarnation)
 {
     const std::vector<Run> runs = takeRuns(target, incarnation);
--- a/src/calls/poisontracker.h
+++ b/src/calls/poisontracker.h
@@ -49,6 +49,9 @@
                            Incarnation incarnation) = 0;
     /// The request left the target alive: completed, cancelled or moved. Completion clears it.
     virtual void onReleased(std::uint64_t fingerprint, const TargetId &target, bool isComplete) = 0;
+    /// The request itself lost its target, which is not yet known to be dead; counts as that death.
+    virtual void onLost(std::uint64_t fingerprint, const TargetId &target,
+                        Incarnation incarnation) = 0;
     virtual void onTargetDied(const TargetId &target, Incarnation incarnation) = 0;
     virtual void onReport(const PoisonReport &report) = 0;
     /// Forgets a fingerprint at an operator's word.
--- a/src/calls/tests/poisontest.cpp
+++ b/src/calls/tests/poisontest.cpp
@@ -53,6 +53,20 @@
     CHECK(tracker->suspicion(Poison) == Suspicion::Refused);
 }
 
+TEST(PoisonTracker, lossSeenByTheRequestCountsBeforeTheDeathIsConfirmed)
+{
+    tracker->onRunning(Poison, first, 4);
+    tracker->onRunning(Innocent, first, 4);
+    tracker->onLost(Poison, first, 4);
+    CHECK(tracker->suspicion(Poison) == Suspicion::Suspect);
+    CHECK(tracker->suspicion(Innocent) == Suspicion::None);
+    CHECK_EQUAL(1U, reports.size());
+    tracker->onTargetDied(first, 4);
+    CHECK(tracker->suspicion(Poison) == Suspicion::Suspect);
+    CHECK(tracker->suspicion(Innocent) == Suspicion::Suspect);
+    CHECK_EQUAL(2U, reports.size());
+}
+
 TEST(PoisonTracker, whatLeftTheTargetInTimeIsNotSuspected)
 {
     tracker->onRunning(Poison, first, 1);
--- /dev/null
+++ b/src/calls/tests/poisonworldtest.cpp
@@ -0,0 +1,93 @@
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "calls/tests/simcaller.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantwalk;
+using namespace std::chrono_literals;
+
+// A request that ends each engine that opens it, sent again and again through all entry VMs.
+TEST_GROUP(PoisonWorld)
+{
+    SimWorld world{SimWorld::Options{7, 2, 3, 1, false, false}};
+    RandomSource random{7};
+    std::vector<std::unique_ptr<SimCaller>> innocents;
+    std::vector<std::unique_ptr<SimCaller>> poisonous;
+
+    void poisonEngines(Duration restartAfter)
+    {
+        for (const auto &engine : world.engines) {
+            engine->poison = "poison";
+            engine->onPoisoned = [this, &engine = *engine, restartAfter] {
+                world.later(5ms, [this, &engine, restartAfter] {
+                    world.killTarget(engine.place.name, restartAfter);
+                });
+            };
+        }
+    }
+
+    void run(Duration restartAfter)
+    {
+        poisonEngines(restartAfter);
+        for (int i = 0; i < 300; ++i) {
+            SimCaller::Options options;
+            options.kind = i % 2 == 0 ? SimKind::Whole : SimKind::Streamed;
+            options.name = "r" + std::to_string(i);
+            options.lossPolicy = LossPolicy::Restart;
+            innocents.push_back(std::make_unique<SimCaller>(world, options));
+            submitAt(*innocents.back(), TimePoint(random.jitter(2min)));
+        }
+        for (int i = 0; i < 40; ++i) {
+            SimCaller::Options options;
+            options.kind = SimKind::Whole;
+            options.name = "poison";
+            options.maxResubmissions = 0;
+            poisonous.push_back(std::make_unique<SimCaller>(world, options));
+            submitAt(*poisonous.back(), TimePoint(10s + i * 2s));
+        }
+        world.timers.advance(10min);
+    }
+
+    void submitAt(SimCaller & caller, TimePoint when)
+    {
+        const std::size_t node = random.below(world.nodes.size());
+        world.timers.subscribeAt(when, [&caller, node] { caller.submit(node); });
+    }
+
+    std::uint32_t deaths() const
+    {
+        std::uint32_t deaths = 0;
+        for (const auto &engine : world.engines)
+            deaths += engine->deaths;
+        return deaths;
+    }
+
+    void check()
+    {
+        for (const auto &caller : innocents)
+            CHECK(caller->end() == SimEnd::Done);
+        for (const auto &caller : poisonous)
+            CHECK(caller->end() != SimEnd::Open && caller->end() != SimEnd::Done);
+        for (const std::string &violation : world.violations)
+            FAIL(violation.c_str());
+    }
+};
+
+TEST(PoisonWorld, endsTwoEnginesAtMostAndNoInnocentFails)
+{
+    run(30s);
+    CHECK_EQUAL(2U, deaths());
+    check();
+}
+
+// An engine that is back before the request is opened again may die once more of the same attempt.
+TEST(PoisonWorld, enginesThatRestartAtOnceDieFewTimes)
+{
+    run(20ms);
+    CHECK(deaths() >= 2);
+    CHECK(deaths() <= 4);
+    check();
+}
--- a/src/calls/tests/simcaller.cpp
+++ b/src/calls/tests/simcaller.cpp
@@ -60,6 +60,7 @@
     GenerationRequest request;
     request.id = RequestId(m_tag);
     request.prompt = "prompt";
+    request.fingerprint = stableHash(m_options.name);
     const bool isWhole = m_options.kind == SimKind::Whole;
     request.delivery = isWhole ? Delivery::Whole : Delivery::Streamed;
     request.lossPolicy = m_options.lossPolicy;
--- a/src/calls/tests/simdaemon.cpp
+++ b/src/calls/tests/simdaemon.cpp
@@ -17,6 +17,7 @@
     options.incarnation = incarnation;
     options.shards = 4;
     m_claims = Claims::create(options, m_world.log, m_timers);
+    m_poison = PoisonTracker::create(m_timers, m_world.tellPoison);
     m_cancellations = std::make_unique<Cancellations>(
             [this](std::uint64_t number, const GenerationAttempt &attempt,
                    const std::optional<GenerationId> &generation) {
@@ -146,20 +147,57 @@
     return id;
 }
 
+// A suspect waits for an idle engine. Routing keeps others away from it; here the simulated engine
+// takes nothing beside it.
+void SimDaemon::placeGeneration(CallId id, std::uint64_t exchange,
+                                const std::vector<TargetId> &excluded)
+{
+    constexpr Duration HoldTime = std::chrono::milliseconds(200);
+    GenerationCall *call = generationCall(id);
+    if (!call || call->isSettled())
+        return;
+    const std::uint64_t fingerprint = call->request().fingerprint;
+    const Suspicion suspicion = m_poison->suspicion(fingerprint);
+    if (suspicion == Suspicion::Refused)
+        return call->onPlacementFailed(
+                exchange, makeError(ErrorCode::PoisonousRequest, "targets died"), Duration(0));
+    SimTarget *target = pickEngine(excluded);
+    if (!target)
+        return call->onPlacementFailed(exchange, makeError(ErrorCode::NoTarget, "no engine"),
+                                       std::chrono::seconds(1));
+    SimEngine &chosen = engine(target->id());
+    const bool isSuspect = suspicion == Suspicion::Suspect;
+    const bool mustHold = (isSuspect && chosen.runningGenerations() > 0) || chosen.isIsolated;
+    if (mustHold) {
+        m_timers.subscribeAfter(HoldTime, [this, id, exchange, excluded] {
+            placeGeneration(id, exchange, excluded);
+        });
+        return;
+    }
+    chosen.isIsolated = isSuspect;
+    m_generating.at(id).placedAt = target->id();
+    m_poison->onRunning(fingerprint, target->id(), target->incarnation);
+    call->onPlaced(exchange, target->id());
+}
+
+void SimDaemon::release(CallId id, bool isComplete)
+{
+    Generating &row = m_generating.at(id);
+    if (row.placedAt.isEmpty())
+        return;
+    SimEngine &left = engine(row.placedAt);
+    const std::uint64_t fingerprint = row.call->request().fingerprint;
+    if (m_poison->suspicion(fingerprint) != Suspicion::None)
+        left.isIsolated = false;
+    m_poison->onReleased(fingerprint, row.placedAt, isComplete);
+    row.placedAt = TargetId();
+}
+
 GenerationHooks SimDaemon::generationHooks(CallId id)
 {
     GenerationHooks hooks;
     hooks.place = [this, id](std::uint64_t exchange, const std::vector<TargetId> &excluded) {
-        later([this, id, exchange, excluded] {
-            GenerationCall *call = generationCall(id);
-            if (!call || call->isSettled())
-                return;
-            SimTarget *target = pickEngine(excluded);
-            if (target)
-                return call->onPlaced(exchange, target->id());
-            call->onPlacementFailed(exchange, makeError(ErrorCode::NoTarget, "no engine"),
-                                    std::chrono::seconds(1));
-        });
+        later([this, id, exchange, excluded] { placeGeneration(id, exchange, excluded); });
         m_world.onStep(SimStep::Queued);
     };
     hooks.open = [this, id](std::uint64_t exchange, const GenerationAttempt &attempt) {
@@ -184,11 +222,19 @@
         deliver(id, generation, position, text);
     };
     hooks.restart = [this, id] { m_generating.at(id).caller.restart(); };
-    hooks.finish = [this, id](FinishReason) { m_generating.at(id).caller.finish(); };
+    hooks.finish = [this, id](FinishReason) {
+        release(id, true);
+        m_generating.at(id).caller.finish();
+    };
     hooks.fail = [this, id](const absl::Status &status, Outcome outcome, Duration) {
+        release(id, false);
         m_generating.at(id).caller.fail(status, outcome);
     };
-    hooks.targetLost = [](const TargetId &) {};
+    hooks.targetLost = [this, id](const TargetId &target) {
+        const std::uint64_t fingerprint = m_generating.at(id).call->request().fingerprint;
+        m_poison->onLost(fingerprint, target, engine(target).incarnation);
+        release(id, false);
+    };
     hooks.takeRetry = [this] { return m_budget.take(); };
     hooks.askReaders = [this, id](const GenerationId &generation) {
         m_world.askPeers(generation, [this, id](bool isRead) {
@@ -315,6 +361,7 @@
 void SimDaemon::onTargetGone(const TargetId &target, Incarnation incarnation)
 {
     m_cancellations->onTargetGone(target, incarnation);
+    m_poison->onTargetDied(target, incarnation);
     for (auto &[id, row] : m_generating) {
         if (!row.call->isSettled())
             row.call->onTargetGone(target, incarnation);
--- a/src/calls/tests/simdaemon.h
+++ b/src/calls/tests/simdaemon.h
@@ -13,6 +13,7 @@
 #include "calls/claims.h"
 #include "calls/generationcall.h"
 #include "calls/plaincall.h"
+#include "calls/poisontracker.h"
 #include "calls/resumetoken.h"
 #include "calls/retrybudget.h"
 #include "calls/tests/simtargets.h"
@@ -58,6 +59,7 @@
     std::function<void(SimStep)> onStep;
     std::function<void(const GenerationId &, std::function<void(bool)>)> askPeers;
     std::function<void(const ResumeToken &)> tellTakenOver;
+    std::function<void(const PoisonReport &)> tellPoison;
     /// Seeded defect: sends as soon as the append is answered, before the claim is read back.
     bool isClaimTrustedUnread = false;
 };
@@ -82,6 +84,7 @@
     void callerGone(CallId id);
     void callerBlocked(CallId id, bool isBlocked);
     void onTargetGone(const TargetId &target, Incarnation incarnation);
+    void onPoisonReport(const PoisonReport &report) { m_poison->onReport(report); }
     void onTakenOver(const GenerationId &generation);
     bool isReading(const GenerationId &generation) const;
     std::size_t callsInProgress() const;
@@ -102,6 +105,7 @@
         std::unique_ptr<GenerationCall> call;
         CallerEvents caller;
         std::uint32_t tokens = 0;
+        TargetId placedAt;
         std::map<std::uint64_t, ConnectionPtr> connections;
     };
 
@@ -124,6 +128,8 @@
     SimTarget *pick(std::vector<SimTarget *> targets, const std::vector<TargetId> &excluded);
     bool isSeenLive(const SimTarget &target) const;
 
+    void placeGeneration(CallId id, std::uint64_t exchange, const std::vector<TargetId> &excluded);
+    void release(CallId id, bool isComplete);
     GenerationHooks generationHooks(CallId id);
     EngineAnswersPtr engineAnswers(CallId id, std::uint64_t exchange);
     void openExchange(CallId id, std::uint64_t exchange, const GenerationAttempt &attempt);
@@ -151,6 +157,7 @@
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
     RetryBudget m_budget{0.2, 10};
     std::unique_ptr<Claims> m_claims;
+    std::unique_ptr<PoisonTracker> m_poison;
     std::unique_ptr<Cancellations> m_cancellations;
     std::unique_ptr<Drain> m_drain;
     bool m_hasExited = false;
--- a/src/calls/tests/simtargets.cpp
+++ b/src/calls/tests/simtargets.cpp
@@ -42,6 +42,8 @@
         });
         return;
     }
+    if (!poison.empty() && tag.rfind(poison, 0) == 0)
+        return onPoisoned();
     const std::uint64_t number = ++m_lastNumber;
     m_generations[number] = Generation{attempt, tag, tokens, 0, false, {}};
     ++begun[tag];
@@ -135,6 +137,7 @@
 void SimEngine::kill(SimNetwork &network, bool isSilent)
 {
     m_generations.clear();
+    isIsolated = false;
     SimTarget::kill(network, isSilent);
 }
 
--- a/src/calls/tests/simtargets.h
+++ b/src/calls/tests/simtargets.h
@@ -66,6 +66,9 @@
     std::map<std::string, std::uint32_t> begun;
     std::uint64_t producedTokens = 0;
     double refusalChance = 0;
+    bool isIsolated = false; ///< Kept for one suspect by the nodes.
+    std::string poison;      ///< Requests whose tag begins so end the engine.
+    std::function<void()> onPoisoned;
 
 private:
     struct Reader
--- a/src/calls/tests/simworld.cpp
+++ b/src/calls/tests/simworld.cpp
@@ -126,10 +126,27 @@
     result.tellTakenOver = [this, number](const ResumeToken &token) {
         tellTakenOver(number, token, 0);
     };
+    result.tellPoison = [this, number](const PoisonReport &report) {
+        for (const auto &node : nodes) {
+            const bool isOther = node.get() != nodes[number].get();
+            if (isOther && node->daemon)
+                tellPoison(*node, report);
+        }
+    };
     result.isClaimTrustedUnread = options.isClaimTrustedUnread;
     return result;
 }
 
+void SimWorld::tellPoison(SimNode &node, const PoisonReport &report)
+{
+    later(PeerDelay, [&node, report, life = node.life] {
+        node.timers.run([&node, report, life] {
+            if (*life)
+                node.daemon->onPoisonReport(report);
+        });
+    });
+}
+
 bool SimWorld::isReachable(std::size_t from, std::size_t to) const
 {
     return timers.now() >= m_peersCutUntil
--- a/src/calls/tests/simworld.h
+++ b/src/calls/tests/simworld.h
@@ -75,6 +75,7 @@
 private:
     LogHooks logHooks(std::size_t node);
     DaemonSurroundings surroundings(std::size_t node);
+    void tellPoison(SimNode &node, const PoisonReport &report);
     bool isReachable(std::size_t from, std::size_t to) const;
     void askPeers(std::size_t node, const GenerationId &generation,
                   const std::function<void(bool)> &answer);
