--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -33,22 +33,6 @@
     return std::chrono::duration_cast<std::chrono::seconds>(sinceEpoch).count();
 }
 
-namespace {
-
-class OpenLimiter : public Limiter
-{
-public:
-    LimitVerdict admit(const std::string &, const std::string &, bool) override
-    {
-        return {true, {}, Duration(0)};
-    }
-    void charge(LimitGrant, std::uint32_t) override {}
-    void release(LimitGrant) override {}
-    void onObjects(const ObjectSet &) override {}
-};
-
-} // namespace
-
 absl::StatusOr<std::unique_ptr<Node>> Node::create(const Settings &settings, const NodeKeys &keys,
                                                    EventLoop &loop)
 {
@@ -60,6 +44,7 @@
     node->createConfig();
     node->createTargets();
     node->createRouting();
+    node->createLimits();
     node->createCalls();
     node->createDrain();
     node->addPeerMethods();
@@ -190,6 +175,19 @@
             m_loop.timers());
 }
 
+void Node::createLimits()
+{
+    LimiterOptions options;
+    options.self = VmId(m_settings.vm);
+    options.zone = m_settings.zone;
+    LimiterHooks hooks;
+    hooks.send = [this](const VmId &vm, const Json::Value &message) {
+        notifyVm(vm, "limits", message);
+    };
+    hooks.members = [this] { return m_membership->members(); };
+    m_limiter = createLimiter(options, std::move(hooks), m_loop.timers());
+}
+
 void Node::createCalls()
 {
     m_poison = PoisonTracker::create(m_loop.timers(), [this](const PoisonReport &report) {
@@ -197,7 +195,6 @@
         announceToZone("poison", fact);
         m_membership->disseminate("poison", fact, true);
     });
-    m_limiter = std::make_unique<OpenLimiter>();
     Claims::Options options;
     options.vm = VmId(m_settings.vm);
     options.incarnation = m_incarnation;
@@ -210,6 +207,7 @@
     hooks.index = [this] { return m_index.get(); };
     hooks.isReady = [this] { return isReady(); };
     hooks.isTakingWork = [this] { return m_drain->isTakingWork(); };
+    hooks.refreshGauges = [this] { refreshGauges(); };
     hooks.wallClock = &wallClockSeconds;
     m_callers = std::make_unique<CallersApi>(CallersApi::Options{m_settings.vm, m_incarnation},
                                              std::move(hooks), *m_services);
@@ -237,10 +235,7 @@
         m_peers.askReaders(others, generation, callback);
     };
     const auto tellTakenOver = [this](const VmId &vm, const GenerationId &generation) {
-        for (const Member &member : m_membership->members()) {
-            if (member.vm == vm && vm.text() != m_settings.vm)
-                m_peers.notify(member.endpoint, "taken-over", encodeGeneration(generation));
-        }
+        notifyVm(vm, "taken-over", encodeGeneration(generation));
     };
     const auto cancel = [this](const GenerationAttempt &attempt,
                                const std::optional<GenerationId> &generation) {
@@ -288,6 +283,35 @@
     m_drain = Drain::create(options, std::move(hooks), m_loop.timers());
 }
 
+void Node::refreshGauges()
+{
+    // A state that nobody is in any more has to read 0.
+    std::map<MemberState, std::size_t> members{{MemberState::Alive, 0},
+                                               {MemberState::Suspected, 0},
+                                               {MemberState::Left, 0},
+                                               {MemberState::Dead, 0}};
+    for (const Member &member : m_membership->members())
+        ++members[member.state];
+    for (const auto &[state, count] : members)
+        m_metrics.set("currantwalk_members", {{"state", std::string(memberStateName(state))}},
+                      static_cast<double>(count));
+    std::map<TargetState, std::size_t> targets{
+            {TargetState::Live, 0}, {TargetState::Leaving, 0}, {TargetState::Gone, 0}};
+    for (const Target *target : m_targets->all())
+        ++targets[target->state];
+    for (const auto &[state, count] : targets)
+        m_metrics.set("currantwalk_targets", {{"state", std::string(targetStateName(state))}},
+                      static_cast<double>(count));
+    const LogOffset version = m_config->current() ? m_config->current()->version : 0;
+    m_metrics.set("currantwalk_config_version", {}, static_cast<double>(version));
+    m_metrics.set("currantwalk_requests_in_progress", {},
+                  static_cast<double>(m_callers->requestsInProgress()));
+    m_metrics.set("currantwalk_requests_held", {}, static_cast<double>(m_dispatcher->waiting()));
+    m_metrics.set("currantwalk_control_bytes_sent", {}, static_cast<double>(m_peers.bytesSent()));
+    m_metrics.set("currantwalk_control_bytes_received", {},
+                  static_cast<double>(m_peers.bytesReceived()));
+}
+
 void Node::start()
 {
     m_membership->start();
@@ -378,6 +402,14 @@
     }
 }
 
+void Node::notifyVm(const VmId &vm, const char *method, const Json::Value &message)
+{
+    for (const Member &member : m_membership->members()) {
+        if (member.vm == vm && vm.text() != m_settings.vm)
+            m_peers.notify(member.endpoint, method, message);
+    }
+}
+
 void Node::refreshVmList()
 {
     m_platform.fetchVms([this](const absl::StatusOr<VmList> &list) {
@@ -506,6 +538,14 @@
     return m_retryBudgets.try_emplace(service, share, RetryReserve).first->second;
 }
 
+static void respondStatus(const absl::Status &status, const RpcResponder &respondTo)
+{
+    if (status.ok())
+        respondTo(Json::Value(true));
+    else
+        respondTo(status);
+}
+
 void Node::addPeerMethods()
 {
     RpcServer &server = m_peers.server();
@@ -520,11 +560,10 @@
             respondTo(makeError(ErrorCode::NotReady, "no version is known here"));
     });
     server.addMethod("digest", [this](const Json::Value &params, const RpcResponder &respondTo) {
-        const absl::Status status = m_targets->onDigest(params);
-        if (status.ok())
-            respondTo(Json::Value(true));
-        else
-            respondTo(status);
+        respondStatus(m_targets->onDigest(params), respondTo);
+    });
+    server.addMethod("limits", [this](const Json::Value &params, const RpcResponder &respondTo) {
+        respondStatus(m_limiter->onMessage(params), respondTo);
     });
     for (const char *kind : {"target", "poison"}) {
         server.addMethod(kind,
