--- a/tools/currantwalk-bench/main.cpp
+++ b/tools/currantwalk-bench/main.cpp
@@ -4,11 +4,12 @@
 #include <string_view>
 
 #include "bench/command.h"
+#include "bench/decisions.h"
 #include "bench/policies.h"
 
 using namespace currantwalk;
 
-static const std::array<const BenchCommand *, 1> Commands{&PoliciesCommand};
+static const std::array<const BenchCommand *, 2> Commands{&PoliciesCommand, &DecisionsCommand};
 
 int main(int argc, const char **argv)
 {
