Routing decision draws engines until two fit; queues at engines count

Cause: each decision weighed every engine and searched each prefix match among all of them; the logarithms of the length curves took most of the rest. Change: engines are drawn at random until two fit; the prefix is looked up for those alone; edges of lengths are linear within an octave; roles are renewed each 128 placements; batches that wait are added to the score.

--- a/src/bench/memorystudy.cpp
+++ b/src/bench/memorystudy.cpp
@@ -85,7 +85,7 @@
     return medianOf(means).middle;
 }
 
-int runMemoryStudy(int firstSeed, int seeds, bool isJson)
+int runMemoryStudy(int firstSeed, int seeds, bool isJson, const std::string &policies)
 {
     Json::Value rows(Json::arrayValue);
     for (const StudyEngine &engine : studyEngines()) {
@@ -99,6 +99,8 @@
                 row["random"] = random;
                 for (const char *policy :
                      {"round-robin", "billiard", "least-reported", "two-choices", "project"}) {
+                    if (policies != "all" && policies.find(policy) == std::string::npos)
+                        continue;
                     const double mean = meanTime(engine, policy, variation, age, firstSeed, seeds);
                     row[policy] = mean;
                 }
--- a/src/bench/policies.cpp
+++ b/src/bench/policies.cpp
@@ -168,7 +168,8 @@
     if (end < -1)
         return EXIT_FAILURE;
     if (options.study == "memory")
-        return runMemoryStudy(options.firstSeed, options.seeds, options.json != 0);
+        return runMemoryStudy(options.firstSeed, options.seeds, options.json != 0,
+                              options.policies);
     if (options.study.empty())
         return runScenarios(options);
     std::cerr << "no study is named " << options.study << std::endl;
--- a/src/routing/basepolicy.cpp
+++ b/src/routing/basepolicy.cpp
@@ -50,6 +50,8 @@
     if (std::find(request.excluded.begin(), request.excluded.end(), target.id)
         != request.excluded.end())
         return false;
+    if (m_suspects == 0)
+        return true;
     const auto it = m_loads.find(target.id);
     return it == m_loads.end() || it->second.suspects == 0;
 }
@@ -89,6 +91,7 @@
     OwnLoad &load = m_loads[target];
     ++load.calls;
     load.suspects += request.isSuspect ? 1 : 0;
+    m_suspects += request.isSuspect ? 1 : 0;
 }
 
 void BasePolicy::onToken(const RequestId &, std::uint32_t, TimePoint) {}
@@ -98,6 +101,7 @@
     const auto it = m_calls.find(request);
     if (it == m_calls.end())
         return;
+    m_suspects -= it->second.isSuspect ? 1 : 0;
     const auto load = m_loads.find(it->second.target);
     if (load != m_loads.end()) {
         --load->second.calls;
@@ -115,7 +119,12 @@
 void BasePolicy::onTargetGone(const TargetId &target)
 {
     m_loads.erase(target);
-    std::erase_if(m_calls, [&target](const auto &call) { return call.second.target == target; });
+    std::erase_if(m_calls, [this, &target](const auto &call) {
+        if (call.second.target != target)
+            return false;
+        m_suspects -= call.second.isSuspect ? 1 : 0;
+        return true;
+    });
 }
 
 void BasePolicy::onNodeCount(std::uint32_t) {}
--- a/src/routing/basepolicy.h
+++ b/src/routing/basepolicy.h
@@ -55,7 +55,8 @@
     RandomSource m_random;
     std::unordered_map<RequestId, OwnCall> m_calls;
     std::unordered_map<TargetId, OwnLoad> m_loads;
-    Candidates m_allowed; // Kept between decisions to save allocations.
+    std::uint32_t m_suspects = 0; // In progress.
+    Candidates m_allowed;         // Kept between decisions to save allocations.
 };
 
 /// Returns the decision to place at \a target by \a rule.
--- a/src/routing/engineroles.h
+++ b/src/routing/engineroles.h
@@ -17,8 +17,8 @@
     void onPlaced(const RoutingRequest &request, double answerTokens);
 
     /// Returns the rank up to which engines are for short answers; see rank(). \a ranks holds those
-    /// of all engines that can serve the request and is reordered.
-    std::uint64_t shortLimit(std::vector<std::uint64_t> &ranks) const;
+    /// of all engines.
+    std::uint64_t shortLimit(std::vector<std::uint64_t> ranks) const;
     /// Returns an engine's place in an order that is alike on all nodes.
     static std::uint64_t rank(const TargetId &target);
     /// Returns whether an answer expected to have so many tokens is short.
@@ -27,6 +27,7 @@
     double shortShare() const { return m_shortShare; }
 
 private:
+    std::uint64_t m_requests = 0;
     double m_shortShare = 0.2; // Of all tokens, of prompts and answers.
 };
 
--- a/src/routing/headroomledger.cpp
+++ b/src/routing/headroomledger.cpp
@@ -52,6 +52,7 @@
     engine.unseen += generation.forecast;
     m_unseen += generation.forecast;
     ++engine.ownCount;
+    ++engine.unseenCount;
     std::size_t index = m_generations.size();
     if (m_free.empty()) {
         m_generations.push_back(std::move(generation));
@@ -101,12 +102,15 @@
     m_unseen -= engine.unseen;
     engine.own = MemoryForecast();
     engine.unseen = MemoryForecast();
+    engine.unseenCount = 0;
     for (const std::size_t index : engine.generations) {
         Generation &generation = m_generations[index];
         generation.forecast = forecast(generation);
         engine.own += generation.forecast;
-        if (generation.placedAt > engine.reportedAt)
-            engine.unseen += generation.forecast;
+        if (generation.placedAt <= engine.reportedAt)
+            continue;
+        engine.unseen += generation.forecast;
+        ++engine.unseenCount;
     }
     m_unseen += engine.unseen;
 }
@@ -175,26 +179,48 @@
                                float margin, TimePoint now) const
 {
     const float age = secondsBetween(engine.reportedAt, now);
-    const float left = std::exp(-age / static_cast<float>(m_residence));
+    const float lives = age / static_cast<float>(m_residence);
+    const float left = 1 / (1 + lives + lives * lives / 2);
     const float others = engine.othersTokens * left;
     const float nodes = static_cast<float>(m_nodes - 1);
     const float here = nodes * SameEngine;
     const float spread =
             nodes * (1 - SameEngine) / std::max(1.0F, static_cast<float>(m_engines.size()));
     const float needs = 1 + nodes * engine.contention;
-    float peak = 0;
-    for (std::size_t i = 0; i < std::min(steps, ForecastSize); ++i) {
-        const float mean = engine.own.mean[i] + others * m_growth.mean[i]
-                           + here * engine.unseen.mean[i] + spread * m_unseen.mean[i]
-                           + needs * need.mean[i];
-        const float variance = engine.own.variance[i] + others * m_growth.variance[i]
-                               + here * engine.unseen.variance[i] + spread * m_unseen.variance[i]
-                               + need.variance[i];
-        peak = std::max(peak, mean + margin * std::sqrt(std::max(variance, 0.0F)));
+    std::array<float, ForecastSize> means;
+    std::array<float, ForecastSize> variances;
+    for (std::size_t i = 0; i < ForecastSize; ++i) {
+        means[i] = engine.own.mean[i] + others * m_growth.mean[i] + here * engine.unseen.mean[i]
+                   + spread * m_unseen.mean[i] + needs * need.mean[i];
+        variances[i] = engine.own.variance[i] + others * m_growth.variance[i]
+                       + here * engine.unseen.variance[i] + spread * m_unseen.variance[i]
+                       + need.variance[i];
     }
+    float peak = 0;
+    for (std::size_t i = 0; i < std::min(steps, ForecastSize); ++i)
+        peak = std::max(peak, means[i] + margin * std::sqrt(std::max(variances[i], 0.0F)));
     return peak;
 }
 
+std::vector<std::uint64_t> HeadroomLedger::ranks() const
+{
+    std::vector<std::uint64_t> ranks;
+    for (const auto &[target, engine] : m_engines) {
+        if (engine.capacityTokens > 0)
+            ranks.push_back(engine.rank);
+    }
+    return ranks;
+}
+
+// What was sent since may run at once where nothing waited, so it counts only behind a queue.
+float HeadroomLedger::waitingBatches(const Engine &engine) const
+{
+    if (engine.waiting == 0)
+        return 0;
+    const auto queue = static_cast<float>(engine.waiting + engine.unseenCount);
+    return queue / static_cast<float>(std::max(engine.running, 1U));
+}
+
 float HeadroomLedger::headroomShare(const Engine &engine, float margin, TimePoint now) const
 {
     const float peak = peakWith(engine, MemoryForecast(), ForecastSize, margin, now);
--- a/src/routing/headroomledger.h
+++ b/src/routing/headroomledger.h
@@ -27,6 +27,7 @@
         float capacityTokens = 0; ///< 0 while no report came.
         float contention = 0;     ///< Drawn from [0, 1) at each report; see peakWith().
         std::uint32_t ownCount = 0;
+        std::uint32_t unseenCount = 0;
         std::uint64_t preemptions = 0;
         std::uint32_t running = 0;
         std::uint32_t waiting = 0;
@@ -56,6 +57,11 @@
 
     std::size_t generations() const { return m_byRequest.size(); }
     std::size_t engines() const { return m_engines.size(); }
+    /// Returns the ranks of all engines that reported; see EngineRoles.
+    std::vector<std::uint64_t> ranks() const;
+    /// Returns how many batches of generations wait at the engine, those sent since its report
+    /// included.
+    float waitingBatches(const Engine &engine) const;
 
 private:
     struct Generation
--- a/src/routing/lengthestimator.cpp
+++ b/src/routing/lengthestimator.cpp
@@ -6,16 +6,21 @@
 
 namespace currantwalk {
 
-static constexpr double FirstEdge = 8;      // Tokens; each next edge is longer by the root of two.
+static constexpr double FirstEdge = 8;      // Tokens; two to the octave.
 static constexpr double WeightLimit = 400;  // Answers; then all counts are halved.
 static constexpr double ServiceWeight = 20; // Answers that an organisation must outweigh.
 static constexpr double PriorWeight = 5;    // Answers that a service must outweigh.
 static constexpr double PriorMean = 512;    // Tokens of an answer when nothing is known.
 
-// Position on the scale of edges, with its fraction.
+// Position on the scale of edges, with its fraction: two edges an octave. Linear within an octave,
+// for a logarithm would take most of a decision's time.
 static double edgePosition(double tokens)
 {
-    return tokens <= FirstEdge ? 0 : 2 * std::log2(tokens / FirstEdge);
+    if (tokens <= FirstEdge)
+        return 0;
+    int exponent = 0;
+    const double mantissa = std::frexp(tokens / FirstEdge, &exponent);
+    return 2 * (exponent - 1 + 2 * mantissa - 1);
 }
 
 void SurvivalCurve::learn(std::uint32_t tokens)
@@ -51,7 +56,8 @@
 // prior.
 double LengthEstimator::View::longerThan(double tokens) const
 {
-    double share = std::exp(-tokens / PriorMean);
+    const double means = std::max(0.0, tokens) / PriorMean;
+    double share = 1 / (1 + means + means * means / 2);
     if (m_service != nullptr) {
         const double weight = m_service->weight();
         share = (share * PriorWeight + m_service->longerThan(tokens) * weight)
--- a/src/routing/prefixindex.cpp
+++ b/src/routing/prefixindex.cpp
@@ -51,29 +51,21 @@
 }
 
 // Hashes are cumulative, so the deepest one known tells; a lost announcement hides no other.
-std::vector<PrefixIndex::Match> PrefixIndex::find(const RoutingRequest &request) const
+std::uint32_t PrefixIndex::cachedTokens(const RoutingRequest &request, const TargetId &target) const
 {
-    std::vector<Match> matches;
     const std::size_t count = request.prefixHashes.size();
     if (count == 0 || m_prefixes.empty())
-        return matches;
+        return 0;
     const std::size_t stride = (count + MostHashes - 1) / MostHashes;
-    for (std::size_t i = 0; i < count; i += stride) {
-        const auto known = m_prefixes.find(request.prefixHashes[i]);
+    for (std::size_t depth = count; depth > 0; depth -= std::min(depth, stride)) {
+        const auto known = m_prefixes.find(request.prefixHashes[depth - 1]);
         if (known == m_prefixes.end())
             continue;
-        const auto tokens = static_cast<std::uint32_t>(request.promptTokens * (i + 1) / count);
-        for (const TargetId &holder : known->second.holders) {
-            const auto match =
-                    std::find_if(matches.begin(), matches.end(),
-                                 [&holder](const Match &one) { return one.target == holder; });
-            if (match == matches.end())
-                matches.push_back({holder, tokens});
-            else
-                match->tokens = tokens;
-        }
+        const std::vector<TargetId> &holders = known->second.holders;
+        if (std::find(holders.begin(), holders.end(), target) != holders.end())
+            return static_cast<std::uint32_t>(request.promptTokens * depth / count);
     }
-    return matches;
+    return 0;
 }
 
 } // namespace currantwalk
--- a/src/routing/prefixindex.h
+++ b/src/routing/prefixindex.h
@@ -18,17 +18,10 @@
 public:
     explicit PrefixIndex(std::size_t limit = 32768) : m_limit(limit) {}
 
-    struct Match
-    {
-        TargetId target;
-        std::uint32_t tokens = 0; ///< Of the prompt, likely to be cached.
-    };
-
     void onEvent(const TargetId &target, std::uint64_t prefixHash, bool isCached);
     void onTargetGone(const TargetId &target);
-    /// Returns the engines that hold some of the request's prompt, each with the longest part
-    /// known.
-    std::vector<Match> find(const RoutingRequest &request) const;
+    /// Returns how many tokens of the request's prompt the target is likely to have cached.
+    std::uint32_t cachedTokens(const RoutingRequest &request, const TargetId &target) const;
     std::size_t size() const { return m_prefixes.size(); }
 
 private:
--- a/src/routing/projectpolicy.cpp
+++ b/src/routing/projectpolicy.cpp
@@ -1,7 +1,7 @@
 #include "routing/projectpolicy.h"
 
 #include <algorithm>
-#include <limits>
+#include <utility>
 
 namespace currantwalk {
 
@@ -16,6 +16,9 @@
 static constexpr float PrefixWeight = 5;       // Tokens of memory that a cached token outweighs.
 static constexpr float RareSurvival = 0.05F;   // Steps that fewer answers reach are left out.
 static constexpr float FillPerCall = 0.01F;    // Where an engine reports no load.
+static constexpr float WaitingWeight = 0.25F;  // Of fill, for each batch that waits at an engine.
+static constexpr std::uint32_t DrawnFits = 2;
+static constexpr std::uint32_t PlacedPerRoles = 128;
 static constexpr Duration HoldRecheck = std::chrono::milliseconds(100);
 
 ProjectPolicy::ProjectPolicy(std::uint64_t seed)
@@ -35,84 +38,81 @@
     return steps;
 }
 
-std::uint64_t ProjectPolicy::shortLimit(const Candidates &allowed)
-{
-    m_ranks.clear();
-    for (const Target *target : allowed) {
-        const HeadroomLedger::Engine *engine = m_ledger.find(target->id);
-        if (engine != nullptr)
-            m_ranks.push_back(engine->rank);
-    }
-    return m_roles.shortLimit(m_ranks);
-}
-
 // An idle engine takes anything: a request that fits nowhere must still run.
-void ProjectPolicy::collectFits(const RoutingRequest &request, const Candidates &allowed,
-                                const MemoryForecast &need, bool isShort, TimePoint now)
+ProjectPolicy::Fit ProjectPolicy::fitOf(const RoutingRequest &request, const Target &target,
+                                        const MemoryForecast &need, std::size_t steps, bool isShort,
+                                        TimePoint now) const
 {
-    const std::size_t steps = stepsAlive(request, need);
-    const std::uint64_t limit = shortLimit(allowed);
-    const float fillLimit = isShort ? ShortFillLimit : LongFillLimit;
-    m_fits.clear();
-    for (const Target *target : allowed) {
-        const HeadroomLedger::Engine *engine = m_ledger.find(target->id);
-        if (engine == nullptr || engine->capacityTokens == 0) {
-            const float calls = static_cast<float>(outstanding(target->id));
-            m_fits.push_back({target, engine, calls * FillPerCall, 0});
-            continue;
-        }
-        const float fill =
-                m_ledger.peakWith(*engine, need, steps, m_margin, now) / engine->capacityTokens;
-        const bool isIdle = engine->ownCount + engine->running + engine->waiting == 0;
-        const bool isAway = (engine->rank <= limit) != isShort;
-        if (fill <= fillLimit || isIdle)
-            m_fits.push_back({target, engine, fill + (isAway ? AwayPenalty : 0), 0});
+    Fit fit;
+    fit.target = &target;
+    fit.engine = m_ledger.find(target.id);
+    if (fit.engine == nullptr || fit.engine->capacityTokens == 0) {
+        fit.score = static_cast<float>(outstanding(target.id)) * FillPerCall;
+        fit.isFit = true;
+        return fit;
     }
+    const HeadroomLedger::Engine &engine = *fit.engine;
+    const float fill =
+            m_ledger.peakWith(engine, need, steps, m_margin, now) / engine.capacityTokens;
+    const bool isIdle = engine.ownCount + engine.running + engine.waiting == 0;
+    fit.isFit = isIdle || fill <= (isShort ? ShortFillLimit : LongFillLimit);
+    if (!fit.isFit)
+        return fit;
+    const bool isAway = (engine.rank <= m_shortLimit) != isShort;
+    fit.prefixTokens = m_prefixes.cachedTokens(request, target.id);
+    const float saved = PrefixWeight * static_cast<float>(fit.prefixTokens);
+    fit.score = fill + (isAway ? AwayPenalty : 0) - saved / engine.capacityTokens
+                + WaitingWeight * m_ledger.waitingBatches(engine);
+    return fit;
 }
 
-void ProjectPolicy::preferCached(const RoutingRequest &request)
-{
-    for (const PrefixIndex::Match &match : m_prefixes.find(request)) {
-        for (Fit &fit : m_fits) {
-            if (fit.target->id != match.target || fit.engine == nullptr)
-                continue;
-            fit.prefixTokens = match.tokens;
-            const float saved = PrefixWeight * static_cast<float>(match.tokens);
-            fit.score -= saved / std::max(1.0F, fit.engine->capacityTokens);
-        }
-    }
-}
-
-// The better of two drawn at random: the best of all would draw every node to one engine, and its
-// prompts would fall into the same steps.
+// The better of two that fit, drawn at random: the best of all would draw every node to one engine,
+// and its prompts would fall into the same steps.
 RoutingDecision ProjectPolicy::choose(const RoutingRequest &request, const Candidates &allowed,
                                       TimePoint now)
 {
     const MemoryForecast need = m_ledger.forecast(request);
     const double expected = m_lengths.view(request.service, request.organisation).mean();
-    collectFits(request, allowed, need, EngineRoles::isShort(expected), now);
-    preferCached(request);
-    RoutingDecision decision = holdUntil(now + HoldRecheck, "no-room", allowed.size());
-    if (!m_fits.empty()) {
-        const Fit &first = m_fits[random().below(m_fits.size())];
-        const Fit &second = m_fits[random().below(m_fits.size())];
-        const Fit &chosen = second.score < first.score ? second : first;
-        decision = placeAt(*chosen.target, "two-fits-least-peak", m_fits.size(), chosen.score);
-        decision.reason.prefixTokens = chosen.prefixTokens;
-        if (chosen.engine != nullptr)
-            decision.reason.headroomTokens = m_ledger.headroomShare(*chosen.engine, m_margin, now);
+    const bool isShort = EngineRoles::isShort(expected);
+    const std::size_t steps = stepsAlive(request, need);
+    m_drawn = allowed;
+    Fit best;
+    std::uint32_t fits = 0;
+    for (std::size_t i = 0; i < m_drawn.size() && fits < DrawnFits; ++i) {
+        std::swap(m_drawn[i], m_drawn[i + random().below(m_drawn.size() - i)]);
+        const Fit fit = fitOf(request, *m_drawn[i], need, steps, isShort, now);
+        if (!fit.isFit)
+            continue;
+        ++fits;
+        if (best.target == nullptr || fit.score < best.score)
+            best = fit;
     }
+    RoutingDecision decision =
+            best.target != nullptr
+                    ? placeAt(*best.target, "two-fits-least-peak", allowed.size(), best.score)
+                    : holdUntil(now + HoldRecheck, "no-room", allowed.size());
+    if (best.engine != nullptr)
+        decision.reason.headroomTokens = m_ledger.headroomShare(*best.engine, m_margin, now);
+    decision.reason.prefixTokens = best.prefixTokens;
     decision.reason.expectedTokens = expected;
     decision.reason.reservedTokens = peakMemory(need, m_margin);
     return decision;
 }
 
+void ProjectPolicy::updateRoles()
+{
+    m_shortLimit = m_roles.shortLimit(m_ledger.ranks());
+    m_placedSinceRoles = 0;
+}
+
 void ProjectPolicy::onPlaced(const RoutingRequest &request, const TargetId &target, TimePoint now)
 {
     BasePolicy::onPlaced(request, target, now);
     m_origins.try_emplace(request.id, Origin{request.service, request.organisation});
     m_ledger.onPlaced(request, target, now);
     m_roles.onPlaced(request, m_lengths.view(request.service, request.organisation).mean());
+    if (++m_placedSinceRoles >= PlacedPerRoles)
+        updateRoles();
 }
 
 void ProjectPolicy::onToken(const RequestId &request, std::uint32_t generated, TimePoint)
@@ -135,7 +135,10 @@
 
 void ProjectPolicy::onLoad(const Target &target, TimePoint now)
 {
+    const std::size_t engines = m_ledger.engines();
     adaptMargin(m_ledger.onLoad(target, now));
+    if (m_ledger.engines() != engines)
+        updateRoles();
 }
 
 void ProjectPolicy::adaptMargin(std::uint64_t preempted)
@@ -149,6 +152,7 @@
     BasePolicy::onTargetGone(target);
     m_ledger.onTargetGone(target);
     m_prefixes.onTargetGone(target);
+    updateRoles();
 }
 
 void ProjectPolicy::onCacheEvent(const TargetId &target, std::uint64_t prefixHash, bool isCached)
--- a/src/routing/projectpolicy.h
+++ b/src/routing/projectpolicy.h
@@ -42,13 +42,13 @@
         const HeadroomLedger::Engine *engine = nullptr;
         float score = 0;
         std::uint32_t prefixTokens = 0;
+        bool isFit = false;
     };
 
     void adaptMargin(std::uint64_t preempted);
-    void collectFits(const RoutingRequest &request, const Candidates &allowed,
-                     const MemoryForecast &need, bool isShort, TimePoint now);
-    void preferCached(const RoutingRequest &request);
-    std::uint64_t shortLimit(const Candidates &allowed);
+    Fit fitOf(const RoutingRequest &request, const Target &target, const MemoryForecast &need,
+              std::size_t steps, bool isShort, TimePoint now) const;
+    void updateRoles();
 
     LengthEstimator m_lengths;
     HeadroomLedger m_ledger;
@@ -57,8 +57,9 @@
 
     std::unordered_map<RequestId, Origin> m_origins;
     float m_margin;
-    std::vector<Fit> m_fits; // Kept between decisions to save allocations, as are the ranks.
-    std::vector<std::uint64_t> m_ranks;
+    std::uint64_t m_shortLimit = 0; // See EngineRoles.
+    std::uint32_t m_placedSinceRoles = 0;
+    Candidates m_drawn; // Kept between decisions to save allocations.
 };
 
 } // namespace currantwalk
