--- a/tools/currantwalk-bench/main.cpp
+++ b/tools/currantwalk-bench/main.cpp
@@ -5,12 +5,14 @@
 #include <sysexits.h>
 
 #include "bench/command.h"
+#include "bench/datapath.h"
 #include "bench/policies.h"
+#include "bench/slopes.h"
 
 using namespace currantwalk;
 
 // The sub-commands, in the order of the help.
-static const std::vector<BenchCommand> Commands{PoliciesCommand};
+static const std::vector<BenchCommand> Commands{PoliciesCommand, DatapathCommand, SlopesCommand};
 
 static void printUsage(std::FILE *stream)
 {
