Fuzz targets build again: a constant that nothing used

Cause: clang refuses the unused constant under -Werror, so no fuzz target that needs membership built. Change: the constant is gone.

--- a/src/membership/gossipsync.cpp
+++ b/src/membership/gossipsync.cpp
@@ -9,7 +9,6 @@
 
 namespace currantwalk {
 
-constexpr std::size_t MaxLoadBytes = 900; ///< Of news on one message.
 constexpr std::size_t MaxRepairBytes =
         1600;                              ///< Of records on one message, unless one zone has more.
 constexpr std::size_t BytesPerRecord = 60; ///< About.
