--- a/src/limits/limitaccount.cpp
+++ b/src/limits/limitaccount.cpp
@@ -10,7 +10,7 @@
 constexpr Duration AskDelay = std::chrono::milliseconds(20); ///< For the owner's answer.
 constexpr double LeastRate = 1e-3;                           ///< Units a second.
 constexpr double LongestSpacing = 60;                        ///< Seconds.
-constexpr Duration LongestRetry = std::chrono::minutes(10);
+constexpr Duration LongestRetry = std::chrono::minutes(3);
 
 LimitAccount::LimitAccount(const Share &whole, TimePoint now)
     : m_whole(whole), m_requests(now), m_tokens(now), m_reportedAt(now - std::chrono::seconds(1))
@@ -147,7 +147,7 @@
     report.demand.requests = std::max(Headroom * m_rate.requests, m_waiting);
     // Callers that were told to come back will: the share that was reckoned with is kept for them.
     if (m_nextSlot > now)
-        report.demand.requests = std::max(report.demand.requests, m_requests.rate());
+        report.demand.requests = std::max(report.demand.requests, Headroom * m_even.requests);
     report.demand.tokens = Headroom * m_rate.tokens;
     report.demand.streams = m_streamsInUse + m_waitingStreams + 1;
     report.held = m_isGranted ? m_granted : Share{};
--- a/src/targets/targettable.h
+++ b/src/targets/targettable.h
@@ -52,7 +52,7 @@
         /// Between two digest rows of one target, whichever node sends them: at least this, and
         /// longer in zones with many targets.
         Duration shareInterval = std::chrono::seconds(1);
-        Duration shareIntervalForEachTarget = std::chrono::milliseconds(40);
+        Duration shareIntervalForEachTarget = std::chrono::milliseconds(50);
         /// Before the first digest. Should differ from node to node, so that the watchers of a
         /// target don't send the same row at the same time.
         Duration sharePhase{0};
