Limits are reported when a grant lapses or does not suffice; seeds are bounded

Cause: a limit in use was reported each second: 1,952 bytes a second at a node where 140 organisations make all calls, over the budget with the rest. Seeds grew with each list of VMs. Change: while a grant suffices it is renewed 1.5 s before it lapses; 512 seeds are kept.

--- a/src/limits/limitaccount.cpp
+++ b/src/limits/limitaccount.cpp
@@ -7,9 +7,10 @@
 constexpr double Headroom = 2;     ///< Demand told, as a multiple of what was seen.
 constexpr double MeanWeight = 0.5; ///< Of the last interval.
 constexpr Duration RoundTrip = std::chrono::milliseconds(50);
-constexpr Duration AskDelay = std::chrono::milliseconds(20); ///< For the owner's answer.
-constexpr double LeastRate = 1e-3;                           ///< Units a second.
-constexpr double LongestSpacing = 60;                        ///< Seconds.
+constexpr Duration RenewBefore = std::chrono::milliseconds(1500); ///< A grant lapses.
+constexpr Duration AskDelay = std::chrono::milliseconds(20);      ///< For the owner's answer.
+constexpr double LeastRate = 1e-3;                                ///< Units a second.
+constexpr double LongestSpacing = 60;                             ///< Seconds.
 constexpr Duration LongestRetry = std::chrono::minutes(3);
 
 LimitAccount::LimitAccount(const Share &whole, TimePoint now)
@@ -120,10 +121,15 @@
     return std::clamp(slot - now, AskDelay, LongestRetry);
 }
 
-bool LimitAccount::isReportDue(Duration interval, TimePoint now) const
+bool LimitAccount::isReportDue(Duration interval, TimePoint now)
 {
+    refresh(now);
     if (now - m_reportedAt < interval)
         return false;
+    // A grant that nobody waits for more of is renewed, not reported on all the time.
+    const bool isEnough = m_isGranted && m_waiting <= 0 && m_tokens.balance(now) >= 0;
+    if (isEnough && m_grantedUntil - now > RenewBefore)
+        return false;
     return m_attempts > 0 || m_charged > 0 || m_waiting > 0 || m_streamsInUse > 0
            || m_nextSlot > now;
 }
--- a/src/limits/limitaccount.h
+++ b/src/limits/limitaccount.h
@@ -28,8 +28,9 @@
     /// Notes a refusal; returns when an attempt is expected to be let in.
     Duration refuse(bool isStream, TimePoint now);
 
-    /// Whether there is news for the owner: use, waiting callers or a debt since the last report.
-    bool isReportDue(Duration interval, TimePoint now) const;
+    /// Whether the owner should hear of this limit: it is in use and its grant is about to lapse,
+    /// or does not suffice.
+    bool isReportDue(Duration interval, TimePoint now);
     /// Whether callers wait and the last report is some round trips old.
     bool isReportUrgent(TimePoint now) const;
     ShareReport report(const std::string &limit, TimePoint now);
--- a/src/limits/limiter.h
+++ b/src/limits/limiter.h
@@ -55,8 +55,8 @@
     VmId self;
     std::string zone;
     Duration reportInterval = std::chrono::seconds(1); ///< Of a limit in use.
-    Duration grantLife = std::chrono::seconds(4);             ///< Of a node's share.
-    Duration zoneGrantLife = std::chrono::seconds(8);         ///< Of a zone's share.
+    Duration grantLife = std::chrono::seconds(4);      ///< Of a node's share.
+    Duration zoneGrantLife = std::chrono::seconds(8);  ///< Of a zone's share.
     Duration idleEviction = std::chrono::seconds(60);
     std::size_t rowsPerSecond = 12; ///< Cap on reports; a limit beyond it has its standing share.
 };
--- a/src/limits/tests/limiterfleet.h
+++ b/src/limits/tests/limiterfleet.h
@@ -72,10 +72,11 @@
             for (const VmId &vm : nodes) {
                 if (!zone.empty() && m_fleet.node(vm).zone != zone)
                     continue;
-                for (double due = perStep; due > 0; due -= 1) {
-                    if (due >= 1 || m_fleet.random().chance(due))
-                        ask(vm, load);
-                }
+                const auto certain = static_cast<int>(perStep);
+                for (int i = 0; i < certain; ++i)
+                    ask(vm, load);
+                if (m_fleet.random().chance(perStep - certain))
+                    ask(vm, load);
             }
             m_fleet.advance(Step);
             m_mostRunning = std::max(m_mostRunning, m_running);
--- a/src/limits/tests/limitertest.cpp
+++ b/src/limits/tests/limitertest.cpp
@@ -63,7 +63,7 @@
     fleet.run({30}, 30s, "zone-1");
     const double rate = static_cast<double>(fleet.takeAdmitted()) / 30;
     // Two zones keep their standing thirds of a half.
-    CHECK_TEXT(rate >= 60 * 2 / 3 * 0.8, std::to_string(rate).c_str());
+    CHECK_TEXT(rate >= 40 * 0.8, std::to_string(rate).c_str());
     CHECK_TEXT(rate <= 61, std::to_string(rate).c_str());
 }
 
--- a/src/membership/gossipmembership.cpp
+++ b/src/membership/gossipmembership.cpp
@@ -12,6 +12,7 @@
 constexpr std::uint32_t TicksPerCleaning = 64 * TicksPerInterval;
 constexpr std::size_t IndirectProbes = 3;
 constexpr std::size_t SeedsWhileAlone = 3;
+constexpr std::ptrdiff_t MaxSeeds = 512;
 constexpr double SeedChance = 0.2;  ///< Of contacting a lost seed or member in an interval.
 constexpr double SuspectProbes = 3; ///< Pings of a suspect by its zone in one interval.
 constexpr Duration FreshAck = std::chrono::seconds(30);
@@ -442,6 +443,9 @@
         if (!isKnown && seed != m_self.endpoint)
             m_seeds.push_back(seed);
     }
+    // Lists of VMs name new ones day by day; the oldest are the least likely to run.
+    if (std::ssize(m_seeds) > MaxSeeds)
+        m_seeds.erase(m_seeds.begin(), m_seeds.end() - MaxSeeds);
 }
 
 void GossipMembership::setConfigVersion(LogOffset version)
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -30,7 +30,7 @@
         ranked.emplace_back(stableHash(member.vm.text(), seed), &member);
     const std::size_t kept = std::min(count, ranked.size());
     const auto isBetter = [](const auto &a, const auto &b) {
-        return a.first != b.first ? a.first > b.first : a.second->vm < b.second->vm;
+        return a.first != b.first ? a.first > b.first : a.second->vm.text() < b.second->vm.text();
     };
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept),
                       ranked.end(), isBetter);
