--- a/src/calls/tests/simdaemon.cpp
+++ b/src/calls/tests/simdaemon.cpp
@@ -17,6 +17,7 @@
     options.incarnation = incarnation;
     options.shards = 4;
     m_claims = Claims::create(options, m_world.log, m_timers);
+    m_poison = PoisonTracker::create(m_timers, m_world.tellPoison);
     m_cancellations = std::make_unique<Cancellations>(
             [this](std::uint64_t number, const GenerationAttempt &attempt,
                    const std::optional<GenerationId> &generation) {
@@ -146,20 +147,57 @@
     return id;
 }
 
+// A suspect waits for an idle engine. Routing keeps others away from it; here the simulated engine
+// takes nothing beside it.
+void SimDaemon::placeGeneration(CallId id, std::uint64_t exchange,
+                                const std::vector<TargetId> &excluded)
+{
+    constexpr Duration HoldTime = std::chrono::milliseconds(200);
+    GenerationCall *call = generationCall(id);
+    if (!call || call->isSettled())
+        return;
+    const std::uint64_t fingerprint = call->request().fingerprint;
+    const Suspicion suspicion = m_poison->suspicion(fingerprint);
+    if (suspicion == Suspicion::Refused)
+        return call->onPlacementFailed(
+                exchange, makeError(ErrorCode::PoisonousRequest, "targets died"), Duration(0));
+    SimTarget *target = pickEngine(excluded);
+    if (!target)
+        return call->onPlacementFailed(exchange, makeError(ErrorCode::NoTarget, "no engine"),
+                                       std::chrono::seconds(1));
+    SimEngine &chosen = engine(target->id());
+    const bool isSuspect = suspicion == Suspicion::Suspect;
+    const bool mustHold = (isSuspect && chosen.runningGenerations() > 0) || chosen.isIsolated;
+    if (mustHold) {
+        m_timers.subscribeAfter(HoldTime, [this, id, exchange, excluded] {
+            placeGeneration(id, exchange, excluded);
+        });
+        return;
+    }
+    chosen.isIsolated = isSuspect;
+    m_generating.at(id).placedAt = target->id();
+    m_poison->onRunning(fingerprint, target->id(), target->incarnation);
+    call->onPlaced(exchange, target->id());
+}
+
+void SimDaemon::release(CallId id, bool isComplete)
+{
+    Generating &row = m_generating.at(id);
+    if (row.placedAt.isEmpty())
+        return;
+    SimEngine &left = engine(row.placedAt);
+    const std::uint64_t fingerprint = row.call->request().fingerprint;
+    if (m_poison->suspicion(fingerprint) != Suspicion::None)
+        left.isIsolated = false;
+    m_poison->onReleased(fingerprint, row.placedAt, isComplete);
+    row.placedAt = TargetId();
+}
+
 GenerationHooks SimDaemon::generationHooks(CallId id)
 {
     GenerationHooks hooks;
     hooks.place = [this, id](std::uint64_t exchange, const std::vector<TargetId> &excluded) {
-        later([this, id, exchange, excluded] {
-            GenerationCall *call = generationCall(id);
-            if (!call || call->isSettled())
-                return;
-            SimTarget *target = pickEngine(excluded);
-            if (target)
-                return call->onPlaced(exchange, target->id());
-            call->onPlacementFailed(exchange, makeError(ErrorCode::NoTarget, "no engine"),
-                                    std::chrono::seconds(1));
-        });
+        later([this, id, exchange, excluded] { placeGeneration(id, exchange, excluded); });
         m_world.onStep(SimStep::Queued);
     };
     hooks.open = [this, id](std::uint64_t exchange, const GenerationAttempt &attempt) {
@@ -184,11 +222,19 @@
         deliver(id, generation, position, text);
     };
     hooks.restart = [this, id] { m_generating.at(id).caller.restart(); };
-    hooks.finish = [this, id](FinishReason) { m_generating.at(id).caller.finish(); };
+    hooks.finish = [this, id](FinishReason) {
+        release(id, true);
+        m_generating.at(id).caller.finish();
+    };
     hooks.fail = [this, id](const absl::Status &status, Outcome outcome, Duration) {
+        release(id, false);
         m_generating.at(id).caller.fail(status, outcome);
     };
-    hooks.targetLost = [](const TargetId &) {};
+    hooks.targetLost = [this, id](const TargetId &target) {
+        const std::uint64_t fingerprint = m_generating.at(id).call->request().fingerprint;
+        m_poison->onLost(fingerprint, target, engine(target).incarnation);
+        release(id, false);
+    };
     hooks.takeRetry = [this] { return m_budget.take(); };
     hooks.askReaders = [this, id](const GenerationId &generation) {
         m_world.askPeers(generation, [this, id](bool isRead) {
@@ -199,14 +245,14 @@
     return hooks;
 }
 
-EngineAnswers SimDaemon::engineAnswers(CallId id, std::uint64_t exchange)
+EngineAnswersPtr SimDaemon::engineAnswers(CallId id, std::uint64_t exchange)
 {
-    EngineAnswers answers;
-    answers.opened = [this, id, exchange](const GenerationId &generation) {
+    auto answers = std::make_shared<EngineAnswers>();
+    answers->opened = [this, id, exchange](const GenerationId &generation) {
         m_generating.at(id).call->onOpened(exchange, generation);
         m_world.onStep(SimStep::Opened);
     };
-    answers.token = [this, id, exchange](std::uint32_t position, const std::string &text) {
+    answers->token = [this, id, exchange](std::uint32_t position, const std::string &text) {
         Generating &row = m_generating.at(id);
         row.call->onToken(exchange, position, text);
         if (position == 0)
@@ -216,25 +262,33 @@
         if (position + 1 == row.tokens)
             m_world.onStep(SimStep::LastToken);
     };
-    answers.finished = [this, id, exchange](std::uint32_t tokens, FinishReason reason) {
+    answers->finished = [this, id, exchange](std::uint32_t tokens, FinishReason reason) {
         m_generating.at(id).call->onFinished(exchange, tokens, reason);
     };
-    answers.failed = [this, id, exchange](const absl::Status &status) {
+    answers->failed = [this, id, exchange](const absl::Status &status) {
         m_generating.at(id).call->onExchangeFailed(exchange, status, true);
     };
     return answers;
 }
 
-void SimDaemon::openExchange(CallId id, std::uint64_t exchange, const GenerationAttempt &attempt)
+ConnectionPtr SimDaemon::beginExchange(CallId id, std::uint64_t exchange, const SimEngine &target)
 {
-    Generating &row = m_generating.at(id);
-    SimEngine &target = engine(attempt.target);
     const ConnectionPtr opened = connection(target.place);
-    row.connections[exchange] = opened;
     opened->onBroken = [this, id, exchange](const absl::Status &status, bool wasSent) {
         m_generating.at(id).call->onExchangeFailed(exchange, status, wasSent);
     };
-    opened->onCrossed = [this, id] { m_generating.at(id).call->onToken(1000000, 0, "other"); };
+    opened->onCrossed = [this, id] {
+        m_generating.at(id).call->onToken(NoSuchExchange, 0, "other");
+    };
+    m_generating.at(id).connections[exchange] = opened;
+    return opened;
+}
+
+void SimDaemon::openExchange(CallId id, std::uint64_t exchange, const GenerationAttempt &attempt)
+{
+    const Generating &row = m_generating.at(id);
+    SimEngine &target = engine(attempt.target);
+    const ConnectionPtr opened = beginExchange(id, exchange, target);
     m_world.network->connect(
             opened, [&target] { return target.isAlive; },
             [&target, opened, attempt, tag = row.call->request().id.text(), tokens = row.tokens,
@@ -248,14 +302,8 @@
                                std::uint32_t from)
 {
     ++m_resumes;
-    Generating &row = m_generating.at(id);
     SimEngine &target = engine(generation.target);
-    const ConnectionPtr opened = connection(target.place);
-    row.connections[exchange] = opened;
-    opened->onBroken = [this, id, exchange](const absl::Status &status, bool wasSent) {
-        m_generating.at(id).call->onExchangeFailed(exchange, status, wasSent);
-    };
-    opened->onCrossed = [this, id] { m_generating.at(id).call->onToken(1000000, 0, "other"); };
+    const ConnectionPtr opened = beginExchange(id, exchange, target);
     m_world.network->connect(
             opened, [&target] { return target.isAlive; },
             [&target, opened, generation, from, answers = engineAnswers(id, exchange)] {
@@ -313,6 +361,7 @@
 void SimDaemon::onTargetGone(const TargetId &target, Incarnation incarnation)
 {
     m_cancellations->onTargetGone(target, incarnation);
+    m_poison->onTargetDied(target, incarnation);
     for (auto &[id, row] : m_generating) {
         if (!row.call->isSettled())
             row.call->onTargetGone(target, incarnation);
