--- a/src/limits/limitaccount.cpp
+++ b/src/limits/limitaccount.cpp
@@ -7,10 +7,11 @@
 constexpr double Headroom = 2;     ///< Demand told, as a multiple of what was seen.
 constexpr double MeanWeight = 0.5; ///< Of the last interval.
 constexpr Duration RoundTrip = std::chrono::milliseconds(50);
-constexpr Duration AskDelay = std::chrono::milliseconds(20); ///< For the owner's answer.
-constexpr double LeastRate = 1e-3;                           ///< Units a second.
-constexpr double LongestSpacing = 60;                        ///< Seconds.
-constexpr Duration LongestRetry = std::chrono::minutes(10);
+constexpr Duration RenewBefore = std::chrono::milliseconds(1500); ///< A grant lapses.
+constexpr Duration AskDelay = std::chrono::milliseconds(20);      ///< For the owner's answer.
+constexpr double LeastRate = 1e-3;                                ///< Units a second.
+constexpr double LongestSpacing = 60;                             ///< Seconds.
+constexpr Duration LongestRetry = std::chrono::minutes(3);
 
 LimitAccount::LimitAccount(const Share &whole, TimePoint now)
     : m_whole(whole), m_requests(now), m_tokens(now), m_reportedAt(now - std::chrono::seconds(1))
@@ -120,10 +121,15 @@
     return std::clamp(slot - now, AskDelay, LongestRetry);
 }
 
-bool LimitAccount::isReportDue(Duration interval, TimePoint now) const
+bool LimitAccount::isReportDue(Duration interval, TimePoint now)
 {
+    refresh(now);
     if (now - m_reportedAt < interval)
         return false;
+    // A grant that nobody waits for more of is renewed, not reported on all the time.
+    const bool isEnough = m_isGranted && m_waiting <= 0 && m_tokens.balance(now) >= 0;
+    if (isEnough && m_grantedUntil - now > RenewBefore)
+        return false;
     return m_attempts > 0 || m_charged > 0 || m_waiting > 0 || m_streamsInUse > 0
            || m_nextSlot > now;
 }
@@ -147,7 +153,7 @@
     report.demand.requests = std::max(Headroom * m_rate.requests, m_waiting);
     // Callers that were told to come back will: the share that was reckoned with is kept for them.
     if (m_nextSlot > now)
-        report.demand.requests = std::max(report.demand.requests, m_requests.rate());
+        report.demand.requests = std::max(report.demand.requests, Headroom * m_even.requests);
     report.demand.tokens = Headroom * m_rate.tokens;
     report.demand.streams = m_streamsInUse + m_waitingStreams + 1;
     report.held = m_isGranted ? m_granted : Share{};
