Burn report, duties by lease, and waiting for shares are wired into the daemon

Cause: reports, leases and placement ran in tests alone; a first request under a limit was refused with 429 while its node asked for a share. Conclusion: open: for 4 to 8 s after a zone's members change, unused small limits stay refused where a zone has several nodes.

--- a/src/cli/arguments.cpp
+++ b/src/cli/arguments.cpp
@@ -29,7 +29,7 @@
     ~RawOptions()
     {
         for (char *text : {keyFile, timeout, authorities, certificate, privateKey, base, author,
-                           publicationId, deadline})
+                           publicationId, grouping, page, deadline})
             std::free(text);
         freeNodes();
     }
@@ -43,6 +43,8 @@
     char *base = nullptr;
     char *author = nullptr;
     char *publicationId = nullptr;
+    char *grouping = nullptr;
+    char *page = nullptr;
     char *deadline = nullptr;
     int isJson = 0;
     int isHelp = 0;
@@ -118,6 +120,8 @@
     arguments->keyFile = textOf(raw.keyFile);
     arguments->author = textOf(raw.author);
     arguments->publicationId = textOf(raw.publicationId);
+    arguments->grouping = textOf(raw.grouping);
+    arguments->page = textOf(raw.page);
     arguments->isJson = raw.isJson != 0;
     arguments->isHelp = raw.isHelp != 0;
     arguments->isVersion = raw.isVersion != 0;
@@ -140,6 +144,8 @@
             {"author", 0, POPT_ARG_STRING, &raw.author, 0, nullptr, nullptr},
             {"publication-id", 0, POPT_ARG_STRING, &raw.publicationId, 0, nullptr, nullptr},
             {"recovery", 0, POPT_ARG_NONE, &raw.isRecovery, 0, nullptr, nullptr},
+            {"by", 0, POPT_ARG_STRING, &raw.grouping, 0, nullptr, nullptr},
+            {"page", 0, POPT_ARG_STRING, &raw.page, 0, nullptr, nullptr},
             {"deadline", 0, POPT_ARG_STRING, &raw.deadline, 0, nullptr, nullptr},
             {"help", 'h', POPT_ARG_NONE, &raw.isHelp, 0, nullptr, nullptr},
             {"version", 'V', POPT_ARG_NONE, &raw.isVersion, 0, nullptr, nullptr},
--- a/src/cli/arguments.h
+++ b/src/cli/arguments.h
@@ -30,6 +30,9 @@
     std::string author;
     std::string publicationId;
     bool isRecovery = false;
+    // Of report.
+    std::string grouping;
+    std::string page; ///< File for the page; empty for none.
     // Of drain.
     std::optional<Duration> deadline;
 };
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -1,5 +1,6 @@
 #include "cli/commands.h"
 
+#include <fstream>
 #include <ostream>
 
 #include <sysexits.h>
@@ -72,9 +73,39 @@
     return ask(context, "history", noParams(), renderHistory);
 }
 
+static absl::Status writePage(const std::string &path, const Json::Value &answer)
+{
+    const absl::StatusOr<std::string> page = stringMember(answer, "page");
+    if (!page.ok())
+        return page.status();
+    std::ofstream file(path);
+    file << *page;
+    file.close();
+    return file ? absl::OkStatus() : makeError(ErrorCode::SystemCall, "cannot write " + path);
+}
+
 static int runReport(const CommandContext &context)
 {
-    return ask(context, "burn", noParams(), renderBurn);
+    const std::vector<std::string> &operands = context.arguments.operands;
+    if (operands[0] != "burn")
+        return usageFailure(context, "report: the one report is burn");
+    Json::Value params = noParams();
+    if (!context.arguments.grouping.empty())
+        params["by"] = context.arguments.grouping;
+    params["page"] = !context.arguments.page.empty();
+    const absl::StatusOr<Json::Value> answer = context.call("burn", params);
+    if (!answer.ok())
+        return printFailure(context, answer.status());
+    if (!context.arguments.page.empty()) {
+        const absl::Status written = writePage(context.arguments.page, *answer);
+        if (!written.ok())
+            return printFailure(context, written);
+    }
+    Json::Value rows = *answer;
+    if (rows.isObject())
+        rows.removeMember("page");
+    printAnswer(context, rows, renderBurn(rows));
+    return EX_OK;
 }
 
 static int runExplain(const CommandContext &context)
@@ -201,7 +232,10 @@
              0, 0, runDrain},
             {"explain", "REQUEST", "show why each attempt of a request went where it did",
              "REQUEST is the id that the answer's head and the logs name.\n", 1, 1, runExplain},
-            {"report", "", "show service-level burn", "", 0, 0, runReport},
+            {"report", "burn", "show service-level burn over several windows",
+             "  --by GROUP   rows by service (the default), organisation or zone\n"
+             "  --page FILE  also write a self-contained HTML page with plots\n",
+             1, 1, runReport},
             {"poison", "list | clear FINGERPRINT", "show or clear requests that killed targets", "",
              1, 2, runPoison},
             {"outcome", "ORGANISATION SERVICE KEY", "show what became of an idempotency key", "", 3,
--- a/src/cli/completion.cpp
+++ b/src/cli/completion.cpp
@@ -16,7 +16,8 @@
            + commands
            + "\"\n"
              "    local options=\"--node --key-file --json --timeout --tls-authorities"
-             " --tls-certificate --tls-key --base --author --publication-id --recovery --deadline"
+             " --tls-certificate --tls-key --base --author --publication-id --recovery --by --page "
+             "--deadline"
              " --help --version\"\n"
              "    local word command=\n"
              "    for word in \"${COMP_WORDS[@]:1:COMP_CWORD-1}\"; do\n"
--- a/src/cli/rendering.cpp
+++ b/src/cli/rendering.cpp
@@ -142,11 +142,11 @@
 
 std::string renderBurn(const Json::Value &answer)
 {
-    return renderRows(listOf(answer, "rows"),
-                      {"SERVICE", "ORGANISATION", "ZONE", "OBJECTIVE", "WINDOW", "REQUESTS", "BAD",
-                       "BURN", "ALERT"},
-                      {"service", "organisation", "zone", "objective", "window", "requests", "bad",
-                       "burn", "alert"});
+    std::string text = cellText(answer, "text");
+    const Json::Value &missing = memberOf(answer, "missing_nodes");
+    if (missing.isUInt64() && missing.asUInt64() > 0)
+        text += "\n" + valueText(missing) + " nodes did not answer; their part is missing.\n";
+    return text;
 }
 
 std::string renderPoison(const Json::Value &answer)
--- a/src/cli/tests/clitest.cpp
+++ b/src/cli/tests/clitest.cpp
@@ -188,8 +188,7 @@
         "used_tokens":50,"capacity_tokens":200,"preemptions":0,"report_age_ms":300}]})");
     answer("history", R"({"verdicts":[{"offset":5,"base":4,"author":"me","publication_id":"p",
         "accepted":false,"reason":"late"}]})");
-    answer("burn", R"({"rows":[{"service":"s","organisation":"o","zone":"a","objective":"x",
-        "window":"1h","requests":100,"bad":3,"burn":0.6,"alert":"none"}]})");
+    answer("burn", R"({"rows":[],"text":"s  first-token  0.6\n","missing_nodes":2})");
     answer("poison", R"({"entries":[{"fingerprint":"77","suspicion":"refused",
         "deaths":["e1","e2"]}]})");
     answer("explain", R"({"attempts":[{"target":"e1","rule":"reserve","score":0.5}]})");
@@ -199,7 +198,8 @@
             {{"targets"}, "25%"},
             {{"targets"}, "m@1"},
             {{"history"}, "late"},
-            {{"report"}, "0.6"},
+            {{"report", "burn"}, "0.6"},
+            {{"report", "burn"}, "2 nodes did not answer"},
             {{"poison", "list"}, "e1,e2"},
             {{"explain", "r1"}, "reserve"},
             {{"outcome", "o", "s", "k"}, "done"}};
@@ -223,7 +223,7 @@
              std::vector<std::vector<const char *>>{{"status"},
                                                     {"targets"},
                                                     {"history"},
-                                                    {"report"},
+                                                    {"report", "burn"},
                                                     {"explain", "r"},
                                                     {"poison", "list"}})
             CHECK_EQUAL(EX_OK, run(words));
--- a/src/daemon/callersapi.cpp
+++ b/src/daemon/callersapi.cpp
@@ -15,6 +15,8 @@
 
 static constexpr std::string_view ServicesPrefix = "/services/";
 static constexpr std::string_view OutcomesPrefix = "/outcomes/";
+/// Longest wait for a share of a limit; some round trips within the zone.
+static constexpr Duration GrantWait = std::chrono::milliseconds(250);
 static constexpr Duration OutcomeTimeout = std::chrono::seconds(5);
 
 CallersApi::CallersApi(Options options, Hooks hooks, const RequestServices &services)
@@ -22,6 +24,11 @@
 {
 }
 
+CallersApi::~CallersApi()
+{
+    *m_isAlive = false;
+}
+
 static void refuse(HttpExchange &exchange, const absl::Status &status,
                    const std::string &requestId = "", Duration retryAfter = Duration(0))
 {
@@ -116,15 +123,39 @@
                 *exchange,
                 makeError(ErrorCode::PoisonousRequest, "targets died while running this request"),
                 *requestId);
-    if (!isResume) {
-        const LimitVerdict verdict =
-                m_services.limiter.admit(order->request.organisation, order->request.service, true);
-        if (!verdict.isAdmitted)
-            return refuse(*exchange, makeError(ErrorCode::RateLimited, "a limit is reached"),
-                          *requestId, verdict.retryAfter);
-        order->grant = verdict.grant;
-    }
-    startGeneration(exchange, *std::move(order));
+    if (isResume)
+        return startGeneration(exchange, *std::move(order));
+    const LimitQuery query{exchange,
+                           *requestId,
+                           order->request.organisation,
+                           order->request.service,
+                           true,
+                           m_services.timers.now() + GrantWait};
+    passLimits(query, [this, exchange, order = *std::move(order)](LimitGrant grant) {
+        GenerationOrder admitted = order;
+        admitted.grant = grant;
+        startGeneration(exchange, std::move(admitted));
+    });
+}
+
+// A node that has not used a limit of late asks its owner for a share; the request waits for that
+// one round trip rather than being refused while the fleet has room.
+void CallersApi::passLimits(const LimitQuery &query, const std::function<void(LimitGrant)> &proceed)
+{
+    if (query.exchange->isClosed())
+        return;
+    const LimitVerdict verdict =
+            m_services.limiter.admit(query.organisation, query.service, query.isStream);
+    if (verdict.isAdmitted)
+        return proceed(verdict.grant);
+    if (m_services.timers.now() + verdict.retryAfter > query.waitUntil)
+        return refuse(*query.exchange, makeError(ErrorCode::RateLimited, "a limit is reached"),
+                      query.requestId, verdict.retryAfter);
+    m_services.timers.subscribeAfter(verdict.retryAfter,
+                                     [this, query, proceed, isAlive = m_isAlive] {
+                                         if (*isAlive)
+                                             passLimits(query, proceed);
+                                     });
 }
 
 absl::Status CallersApi::resumeInto(const CompletionRequest &completion,
@@ -179,7 +210,7 @@
     order.maxHold = priority.maxHold;
     const auto objective = index.objects().objectives.find(service.objective);
     if (objective != index.objects().objectives.end())
-        order.stallBound = objective->second.stall;
+        order.objective = objective->second;
     order.info = {completion.form, requestId, choice->model, m_hooks.wallClock()};
     return order;
 }
@@ -214,13 +245,17 @@
     absl::StatusOr<PlainOrder> order = makePlainOrder(**organisation, request, *requestId);
     if (!order.ok())
         return refuse(*exchange, order.status(), *requestId);
-    const LimitVerdict verdict =
-            m_services.limiter.admit(order->request.organisation, order->request.service, false);
-    if (!verdict.isAdmitted)
-        return refuse(*exchange, makeError(ErrorCode::RateLimited, "a limit is reached"),
-                      *requestId, verdict.retryAfter);
-    order->grant = verdict.grant;
-    startPlain(exchange, *std::move(order));
+    const LimitQuery query{exchange,
+                           *requestId,
+                           order->request.organisation,
+                           order->request.service,
+                           false,
+                           m_services.timers.now() + GrantWait};
+    passLimits(query, [this, exchange, order = *std::move(order)](LimitGrant grant) {
+        PlainOrder admitted = order;
+        admitted.grant = grant;
+        startPlain(exchange, std::move(admitted));
+    });
 }
 
 static Outcome outcomeOf(ClaimVerdict verdict)
@@ -307,6 +342,9 @@
     const PriorityObject priority = index.priority(organisation, **service);
     PlainOrder order;
     order.pool = (*service)->pool;
+    const auto objective = index.objects().objectives.find((*service)->objective);
+    if (objective != index.objects().objectives.end())
+        order.objective = objective->second;
     order.priorityRank = priority.rank;
     order.maxHold = priority.maxHold;
     order.request.id = RequestId(requestId);
--- a/src/daemon/callersapi.h
+++ b/src/daemon/callersapi.h
@@ -41,6 +41,11 @@
     /// \a services must outlive the result.
     CallersApi(Options options, Hooks hooks, const RequestServices &services);
 
+    ~CallersApi();
+
+    CallersApi(const CallersApi &) = delete;
+    CallersApi &operator=(const CallersApi &) = delete;
+
     void handle(std::shared_ptr<HttpExchange> exchange);
     void onTargetGone(const TargetId &target, Incarnation incarnation);
     /// Returns whether a session here reads the generation for its caller.
@@ -65,6 +70,18 @@
     absl::StatusOr<PlainOrder> makePlainOrder(const OrganisationObject &organisation,
                                               const HttpRequest &request,
                                               const std::string &requestId);
+    /// What is asked of the limiter for one request.
+    struct LimitQuery
+    {
+        std::shared_ptr<HttpExchange> exchange;
+        std::string requestId;
+        std::string organisation;
+        std::string service;
+        bool isStream = false;
+        TimePoint waitUntil{};
+    };
+    /// Calls \a proceed once the limiter lets the request in, else refuses it.
+    void passLimits(const LimitQuery &query, const std::function<void(LimitGrant)> &proceed);
     void startGeneration(const std::shared_ptr<HttpExchange> &exchange, GenerationOrder order);
     void startPlain(const std::shared_ptr<HttpExchange> &exchange, PlainOrder order);
 
@@ -74,6 +91,7 @@
     std::map<std::uint64_t, std::unique_ptr<GenerationSession>> m_generations;
     std::map<std::uint64_t, std::unique_ptr<PlainSession>> m_plainCalls;
     std::uint64_t m_lastSession = 0;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
 } // namespace currantwalk
--- a/src/daemon/generationsession.cpp
+++ b/src/daemon/generationsession.cpp
@@ -19,11 +19,10 @@
     : m_services(services),
       m_exchange(std::move(exchange)),
       m_order(std::move(order)),
-      m_onSettled(std::move(onSettled))
+      m_onSettled(std::move(onSettled)),
+      m_times(m_order.objective, services.timers.now())
 {
     m_call = GenerationCall::create(m_order.request, makeHooks(), services.timers, services.random);
-    m_record.service = m_order.request.service;
-    m_record.organisation = m_order.request.organisation;
 }
 
 GenerationSession::~GenerationSession()
@@ -78,7 +77,6 @@
 
 void GenerationSession::start()
 {
-    m_startedAt = m_services.timers.now();
     m_exchange->onClosed([this, isAlive = m_isAlive] {
         if (*isAlive)
             m_call->onCallerGone();
@@ -268,15 +266,12 @@
 {
     const TimePoint now = m_services.timers.now();
     const MetricLabels labels{{"service", m_order.request.service}};
-    if (!m_lastTokenAt) {
-        m_record.firstToken = std::chrono::duration_cast<Duration>(now - m_startedAt);
-        m_services.metrics.observe("currantwalk_first_token_seconds", labels, m_record.firstToken);
-    } else {
+    m_times.onToken(now);
+    if (m_lastTokenAt) {
         const Duration gap = std::chrono::duration_cast<Duration>(now - *m_lastTokenAt);
-        m_record.longestGap = std::max(m_record.longestGap, gap);
-        if (m_order.stallBound > Duration(0) && gap > m_order.stallBound)
-            m_record.stall += gap;
         m_services.metrics.observe("currantwalk_token_gap_seconds", labels, gap);
+    } else {
+        m_services.metrics.observe("currantwalk_first_token_seconds", labels, m_times.firstToken());
     }
     m_lastTokenAt = now;
 }
@@ -314,7 +309,7 @@
         m_exchange->write(finishEvents(m_order.info, reason));
         m_exchange->finish();
     }
-    settle(true);
+    settle(Ending::Whole);
 }
 
 void GenerationSession::fail(const absl::Status &status, Outcome outcome, Duration retryAfter)
@@ -331,15 +326,17 @@
     } else if (!m_exchange->isClosed()) {
         respondError(*m_exchange, status, outcome, id, retryAfter);
     }
-    settle(errorCode(status) == ErrorCode::Cancelled);
+    settle(errorCode(status) == ErrorCode::Cancelled ? Ending::GivenUp : Ending::Broken);
 }
 
-void GenerationSession::settle(bool isWhole)
+void GenerationSession::settle(Ending ending)
 {
-    m_record.isWhole = isWhole;
+    const bool isWhole = ending == Ending::Whole;
     release(isWhole);
     m_services.limiter.release(m_order.grant);
-    m_services.record(m_record);
+    if (ending != Ending::GivenUp)
+        m_services.record(
+                {m_order.request.service, m_order.request.organisation, m_times, isWhole});
     m_services.timers.subscribeAfter(Duration(0), [this, isAlive = m_isAlive] {
         if (*isAlive)
             m_onSettled();
--- a/src/daemon/generationsession.h
+++ b/src/daemon/generationsession.h
@@ -8,6 +8,7 @@
 
 #include "calls/generationcall.h"
 #include "calls/resumetoken.h"
+#include "config/objects.h"
 #include "daemon/callerformat.h"
 #include "daemon/requestservices.h"
 
@@ -20,7 +21,7 @@
     CompletionInfo info;
     std::string pool;
     Duration maxHold{0};
-    Duration stallBound{0}; ///< Of the service's objective; 0 sets none.
+    ObjectiveObject objective; ///< The service's; sets no bounds where it has none.
     std::optional<ResumePoint> resume;
     VmId resumedFrom; ///< The node that the caller's resume token came from.
     LimitGrant grant;
@@ -48,6 +49,8 @@
     const std::optional<GenerationId> &generation() const { return m_generation; }
 
 private:
+    enum class Ending { Whole, Broken, GivenUp };
+
     GenerationHooks makeHooks();
     void place(std::uint64_t exchange, const std::vector<TargetId> &excluded);
     void onPlacement(std::uint64_t exchange, const Placement &placement);
@@ -63,7 +66,7 @@
     void restart();
     void finish(FinishReason reason);
     void fail(const absl::Status &status, Outcome outcome, Duration retryAfter);
-    void settle(bool isWhole);
+    void settle(Ending ending);
     void release(bool isComplete);
     void releasePoison(const TargetId &target, bool isComplete);
     void startAnswer();
@@ -82,8 +85,7 @@
     std::string m_text; ///< Of a whole answer.
     std::uint32_t m_delivered = 0;
     std::uint32_t m_generated = 0;
-    RequestRecord m_record;
-    TimePoint m_startedAt{};
+    AnswerTimes m_times;
     std::optional<TimePoint> m_lastTokenAt;
     TimerId m_blockedTimer = NoTimer;
     bool m_isAnswerStarted = false;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/json.h"
+#include "daemon/burncollector.h"
 #include "daemon/operatorsapi.h"
 #include "observe/logging.h"
 #include "routing/zonepolicy.h"
@@ -15,6 +16,7 @@
 static constexpr std::size_t RememberedDecisions = 10000;
 static constexpr Duration VmListInterval = std::chrono::seconds(2);
 static constexpr Duration PrefixEventInterval = std::chrono::seconds(2);
+static constexpr Duration PullRetryInterval = std::chrono::milliseconds(500);
 static constexpr std::size_t WatchersPerTarget = 2;
 static constexpr double RetryReserve = 10; ///< Retries that an idle service may spend at once.
 static constexpr double DefaultRetryShare = 0.1;
@@ -46,6 +48,7 @@
     node->createRouting();
     node->createLimits();
     node->createCalls();
+    node->createDuties();
     node->createDrain();
     node->addPeerMethods();
     node->start();
@@ -226,10 +229,7 @@
     };
     const auto askReaders = [this](const GenerationId &generation,
                                    const std::function<void(bool)> &callback) {
-        std::vector<Member> others = m_membership->members();
-        std::erase_if(others, [this](const Member &member) {
-            return member.state != MemberState::Alive || member.vm.text() == m_settings.vm;
-        });
+        const std::vector<Member> others = otherMembers();
         if (others.empty())
             m_loop.timers().subscribeAfter(Duration(0), [callback] { callback(false); });
         m_peers.askReaders(others, generation, callback);
@@ -242,6 +242,8 @@
         m_canceller->cancel(attempt, generation);
     };
     const auto record = [this](const RequestRecord &ended) {
+        const BurnKey key{ended.service, ended.organisation, m_settings.zone};
+        m_burn.record(key, ended.times, ended.isWhole, m_loop.timers().now());
         m_metrics.count("currantwalk_requests_ended_total",
                         {{"service", ended.service}, {"whole", ended.isWhole ? "yes" : "no"}});
     };
@@ -265,6 +267,28 @@
                            record};
 }
 
+void Node::createDuties()
+{
+    m_duties = std::make_unique<Duties>(
+            m_settings, m_incarnation, [this] { return m_objects.get(); }, *m_targets, m_link,
+            m_platform, m_loop.timers(), m_random);
+}
+
+void Node::collectBurn(std::function<void(const BurnSnapshot &, std::size_t missing)> callback)
+{
+    currantwalk::collectBurn(m_peers, otherMembers(), m_burn.snapshot(m_loop.timers().now()),
+                             std::move(callback));
+}
+
+std::vector<Member> Node::otherMembers() const
+{
+    std::vector<Member> others = m_membership->members();
+    std::erase_if(others, [this](const Member &member) {
+        return member.state != MemberState::Alive || member.vm.text() == m_settings.vm;
+    });
+    return others;
+}
+
 void Node::createDrain()
 {
     Drain::Options options;
@@ -278,7 +302,10 @@
         return m_callers->requestsInProgress() + m_canceller->unconfirmed();
     };
     hooks.unsettledClaims = [this] { return m_claims->unsettled(); };
-    hooks.handOver = [this] { m_membership->leave(); };
+    hooks.handOver = [this] {
+        m_duties->handOver();
+        m_membership->leave();
+    };
     hooks.exit = [this] { m_loop.stop(); };
     m_drain = Drain::create(options, std::move(hooks), m_loop.timers());
 }
@@ -304,6 +331,8 @@
                       static_cast<double>(count));
     const LogOffset version = m_config->current() ? m_config->current()->version : 0;
     m_metrics.set("currantwalk_config_version", {}, static_cast<double>(version));
+    m_metrics.set("currantwalk_config_divergences", {},
+                  static_cast<double>(m_config->divergences()));
     m_metrics.set("currantwalk_requests_in_progress", {},
                   static_cast<double>(m_callers->requestsInProgress()));
     m_metrics.set("currantwalk_requests_held", {}, static_cast<double>(m_dispatcher->waiting()));
@@ -317,6 +346,7 @@
     m_membership->start();
     m_config->start();
     m_targets->start();
+    m_duties->start();
     refreshVmList();
     logLine(LogPart::Daemon, LogLevel::Info,
             "Serving callers at " + m_callersEndpoint.toString() + ", peers at "
@@ -367,7 +397,7 @@
                  [this](const absl::StatusOr<Json::Value> &result) {
                      m_isPulling = false;
                      if (!result.ok())
-                         return;
+                         return retryPull();
                      const absl::Status taken = m_config->onPeerVersion(*result);
                      if (!taken.ok())
                          logLine(LogPart::Config, LogLevel::Warning,
@@ -375,6 +405,20 @@
                  });
 }
 
+// A member's change is told once, so a pull that failed is tried again, at whoever is ahead then.
+void Node::retryPull()
+{
+    m_loop.timers().subscribeAfter(PullRetryInterval, [this] {
+        const std::vector<Member> others = otherMembers();
+        const auto ahead = std::max_element(others.begin(), others.end(),
+                                            [](const Member &left, const Member &right) {
+                                                return left.configVersion < right.configVersion;
+                                            });
+        if (ahead != others.end())
+            pullConfig(*ahead);
+    });
+}
+
 static void logRefused(LogPart part, const absl::Status &status)
 {
     if (!status.ok())
@@ -572,6 +616,9 @@
                              respondTo(Json::Value(true));
                          });
     }
+    server.addMethod("burn", [this](const Json::Value &, const RpcResponder &respondTo) {
+        respondTo(m_burn.snapshot(m_loop.timers().now()).toJson());
+    });
     server.addMethod("reading", [this](const Json::Value &params, const RpcResponder &respondTo) {
         const absl::StatusOr<GenerationId> generation = decodeGeneration(params);
         if (generation.ok())
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -14,6 +14,7 @@
 #include "daemon/callersapi.h"
 #include "daemon/canceller.h"
 #include "daemon/decisionlog.h"
+#include "daemon/duties.h"
 #include "daemon/objectindex.h"
 #include "daemon/peerlink.h"
 #include "daemon/platformlink.h"
@@ -24,6 +25,7 @@
 #include "limits/limiter.h"
 #include "membership/membership.h"
 #include "net/eventloop.h"
+#include "observe/burn.h"
 #include "observe/metrics.h"
 #include "routing/dispatcher.h"
 #include "routing/policy.h"
@@ -72,7 +74,8 @@
     PoisonTracker &poison() { return *m_poison; }
     Claims &claims() { return *m_claims; }
     const DecisionLog &decisions() const { return m_decisions; }
-    PlatformLink &platform() { return m_platform; }
+    /// Collects service-level burn from all nodes that answer.
+    void collectBurn(std::function<void(const BurnSnapshot &, std::size_t missing)> callback);
     TimerService &timers() { return m_loop.timers(); }
     RandomSource &random() { return m_random; }
     const ObjectIndex *index() const { return m_index.get(); }
@@ -90,6 +93,7 @@
     void createRouting();
     void createLimits();
     void createCalls();
+    void createDuties();
     void createDrain();
     void refreshGauges();
 
@@ -97,11 +101,14 @@
     void onMember(const Member &member);
     void onFact(const std::string &kind, const Json::Value &fact);
     void pullConfig(const Member &member);
+    void retryPull();
     void refreshVmList();
     void onTargetChange(const Target &target);
     void probeTarget(const Target &target);
     void fetchPrefixEvents(const Target &target);
     bool isWatcher(const TargetId &target) const;
+    /// Returns the members that are alive, without this node.
+    std::vector<Member> otherMembers() const;
     void notifyVm(const VmId &vm, const char *method, const Json::Value &message);
     void announceToZone(const char *kind, const Json::Value &fact);
     std::vector<const Target *> candidates(const RoutingRequest &request) const;
@@ -116,6 +123,7 @@
     RandomSource m_random;
     const Incarnation m_incarnation;
     Metrics m_metrics;
+    BurnRecorder m_burn;
     Fetcher m_fetcher;
     PlatformLink m_platform;
     TargetLink m_link;
@@ -134,6 +142,7 @@
     std::unique_ptr<Limiter> m_limiter;
     std::unique_ptr<Claims> m_claims;
     std::unique_ptr<Canceller> m_canceller;
+    std::unique_ptr<Duties> m_duties;
     std::unique_ptr<Drain> m_drain;
     std::unique_ptr<RequestServices> m_services;
     std::unique_ptr<CallersApi> m_callers;
--- a/src/daemon/operatorsapi.cpp
+++ b/src/daemon/operatorsapi.cpp
@@ -5,6 +5,7 @@
 
 #include "base/json.h"
 #include "config/objectcodec.h"
+#include "daemon/burncollector.h"
 #include "daemon/node.h"
 
 namespace currantwalk {
@@ -31,6 +32,9 @@
                         [this](const Json::Value &params, const RpcResponder &respondTo) {
                             outcome(params, respondTo);
                         });
+    m_server->addMethod("burn", [this](const Json::Value &params, const RpcResponder &respondTo) {
+        burn(params, respondTo);
+    });
     m_server->addMethod("publish",
                         [this](const Json::Value &params, const RpcResponder &respondTo) {
                             publish(params, respondTo);
@@ -106,7 +110,8 @@
     json["capacity_tokens"] = Json::UInt64(target.load.capacityTokens);
     json["preemptions"] = Json::UInt64(target.load.preemptions);
     const Duration age = std::chrono::duration_cast<Duration>(now - target.load.reportedAt);
-    json["report_age_ms"] = Json::Int64(toMilliseconds(age));
+    if (target.load.reportedAt != TimePoint())
+        json["report_age_ms"] = Json::Int64(toMilliseconds(age));
     return json;
 }
 
@@ -284,6 +289,19 @@
                                });
 }
 
+void OperatorsApi::burn(const Json::Value &params, const RpcResponder &respondTo)
+{
+    const absl::StatusOr<BurnQuery> query = BurnQuery::fromJson(params);
+    if (!query.ok())
+        return respondTo(query.status());
+    m_node.collectBurn([this, query = *query, respondTo](const BurnSnapshot &snapshot,
+                                                         std::size_t missing) {
+        const ObjectIndex *index = m_node.index();
+        const ObjectSet none;
+        respondTo(encodeBurnReport(snapshot, index ? index->objects() : none, query, missing));
+    });
+}
+
 static Json::Value encodeClaimAnswer(const ClaimAnswer &answer)
 {
     Json::Value json(Json::objectValue);
--- a/src/daemon/operatorsapi.h
+++ b/src/daemon/operatorsapi.h
@@ -31,6 +31,7 @@
     absl::StatusOr<Json::Value> poison(const Json::Value &params);
     absl::StatusOr<Json::Value> clearPoison(const Json::Value &params);
     void outcome(const Json::Value &params, const RpcResponder &respondTo);
+    void burn(const Json::Value &params, const RpcResponder &respondTo);
     void publish(const Json::Value &params, const RpcResponder &respondTo);
 
     Node &m_node;
--- a/src/daemon/plainsession.cpp
+++ b/src/daemon/plainsession.cpp
@@ -34,7 +34,8 @@
     : m_services(services),
       m_exchange(std::move(exchange)),
       m_order(std::move(order)),
-      m_onSettled(std::move(onSettled))
+      m_onSettled(std::move(onSettled)),
+      m_times(m_order.objective, services.timers.now())
 {
     m_call = PlainCall::create(m_order.request, makeHooks(), services.timers, services.random);
 }
@@ -84,7 +85,6 @@
 
 void PlainSession::start()
 {
-    m_startedAt = m_services.timers.now();
     m_exchange->onClosed([this, isAlive = m_isAlive] {
         if (*isAlive)
             m_call->onCallerGone();
@@ -206,7 +206,7 @@
         m_exchange->write(response.body);
         m_exchange->finish();
     }
-    settle(true);
+    settle(true, false);
 }
 
 void PlainSession::fail(const absl::Status &status, Outcome outcome, Duration retryAfter)
@@ -219,21 +219,20 @@
                              {{"code", std::string(errorName(errorCode(status)))}});
     if (!m_exchange->isClosed())
         respondError(*m_exchange, status, outcome, id, retryAfter);
-    settle(errorCode(status) == ErrorCode::Cancelled);
+    settle(false, errorCode(status) == ErrorCode::Cancelled);
 }
 
-void PlainSession::settle(bool isWhole)
+void PlainSession::settle(bool isWhole, bool isGivenUp)
 {
-    RequestRecord record;
-    record.service = m_order.request.service;
-    record.organisation = m_order.request.organisation;
-    record.firstToken = std::chrono::duration_cast<Duration>(m_services.timers.now() - m_startedAt);
-    record.isWhole = isWhole;
-    m_services.metrics.observe("currantwalk_plain_seconds", {{"service", record.service}},
-                               record.firstToken);
+    if (isWhole)
+        m_times.onToken(m_services.timers.now());
+    m_services.metrics.observe("currantwalk_plain_seconds", {{"service", m_order.request.service}},
+                               m_times.firstToken());
     release(isWhole);
     m_services.limiter.release(m_order.grant);
-    m_services.record(record);
+    if (!isGivenUp)
+        m_services.record(
+                {m_order.request.service, m_order.request.organisation, m_times, isWhole});
     later([this] { m_onSettled(); });
 }
 
--- a/src/daemon/plainsession.h
+++ b/src/daemon/plainsession.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "calls/plaincall.h"
+#include "config/objects.h"
 #include "daemon/requestservices.h"
 
 namespace currantwalk {
@@ -18,6 +19,7 @@
     std::string pool;
     std::uint32_t priorityRank = 0;
     Duration maxHold{0};
+    ObjectiveObject objective; ///< The service's; sets no bounds where it has none.
     LimitGrant grant;
 };
 
@@ -50,7 +52,7 @@
     void lookUpKey(std::uint64_t exchange, const TargetId &target);
     void finish(const PlainResponse &response);
     void fail(const absl::Status &status, Outcome outcome, Duration retryAfter);
-    void settle(bool isWhole);
+    void settle(bool isWhole, bool isGivenUp);
     void release(bool isComplete);
     void later(std::function<void()> action);
 
@@ -62,7 +64,7 @@
     TicketId m_ticket = 0;
     FetchId m_fetch = 0;
     std::optional<TargetId> m_placedAt;
-    TimePoint m_startedAt{};
+    AnswerTimes m_times;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
--- a/src/daemon/platformlink.cpp
+++ b/src/daemon/platformlink.cpp
@@ -144,6 +144,25 @@
                     });
 }
 
+void PlatformLink::reserveLoad(const std::string &weights, const std::string &version,
+                               std::function<void(absl::Status)> callback)
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/weights/" + weights + "/" + version;
+    m_fetcher.fetch(options(), std::move(request), ListTimeout,
+                    [callback = std::move(callback)](const FetchResult &result) {
+                        if (!result.status.ok())
+                            return callback(result.status);
+                        const int status = result.response.head.status;
+                        if (status == 200)
+                            return callback(absl::OkStatus());
+                        callback(status == 429
+                                         ? makeError(ErrorCode::RateLimited, "weight store limit")
+                                         : makeError(ErrorCode::NotFound, "no such weights"));
+                    });
+}
+
 static absl::Status parseVm(const Json::Value &row, VmList *list)
 {
     const absl::StatusOr<std::string> id = stringMember(row, "id");
--- a/src/daemon/platformlink.h
+++ b/src/daemon/platformlink.h
@@ -41,6 +41,10 @@
     /// JsonInvalid.
     void fetchVms(std::function<void(absl::StatusOr<VmList>)> callback);
 
+    /// Asks the weight store for one load. Fails with RateLimited past its limit.
+    void reserveLoad(const std::string &weights, const std::string &version,
+                     std::function<void(absl::Status)> callback);
+
 private:
     void append(const std::string &stream, const std::vector<std::string> &records,
                 LogHooks::AppendCallback callback);
--- a/src/daemon/requestservices.h
+++ b/src/daemon/requestservices.h
@@ -14,6 +14,7 @@
 #include "daemon/decisionlog.h"
 #include "daemon/targetlink.h"
 #include "limits/limiter.h"
+#include "observe/answertimes.h"
 #include "observe/metrics.h"
 #include "routing/dispatcher.h"
 #include "routing/policy.h"
@@ -24,11 +25,9 @@
 /// How one request went, for the report on service-level burn.
 struct RequestRecord
 {
-    std::string service;
-    std::string organisation;
-    Duration firstToken{0}; ///< 0 where none came.
-    Duration longestGap{0}; ///< Between two tokens.
-    Duration stall{0};      ///< Sum of the gaps over the objective's bound.
+    const std::string &service;
+    const std::string &organisation;
+    const AnswerTimes &times;
     bool isWhole = false;
 };
 
@@ -56,7 +55,7 @@
     std::function<void(const VmId &, const GenerationId &)> tellTakenOver;
     /// Has an engine stop a generation, until it confirms or is gone.
     std::function<void(const GenerationAttempt &, const std::optional<GenerationId> &)> cancel;
-    /// A request ended.
+    /// A request ended; not called for one that its caller gave up.
     std::function<void(const RequestRecord &)> record;
 };
 
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -216,8 +216,8 @@
 
 static void refuseUnknownTables(const toml::table &root, std::vector<SettingsFault> &faults)
 {
-    static const std::set<std::string> Known{"vm",       "callers", "peers", "operators",
-                                             "platform", "drain",   "logs",  "routing"};
+    static const std::set<std::string> Known{"vm",    "callers", "peers",   "operators", "platform",
+                                             "drain", "logs",    "routing", "placement"};
     for (const auto &[key, node] : root) {
         if (!Known.contains(std::string(key.str())))
             faults.push_back({node.source().begin.line, std::string(key.str()), "no such table"});
@@ -263,6 +263,12 @@
     settings.routingPolicy = routing.choice("policy", settings.routingPolicy, routingPolicyNames());
     routing.refuseOthers();
 
+    TableReader placement(root, "placement", reading.faults);
+    settings.modelsPerEngine = placement.number("models_per_engine", settings.modelsPerEngine);
+    settings.weightLoadsPerMinute =
+            placement.number("weight_loads_per_minute", settings.weightLoadsPerMinute);
+    placement.refuseOthers();
+
     TableReader logs(root, "logs", reading.faults);
     settings.logFormat =
             logs.named("format", settings.logFormat, &logFormatFromName, "text or json");
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -38,6 +38,8 @@
     Duration logRecordLifetime = std::chrono::hours(2);
     Duration drainAnnounceTime = std::chrono::seconds(5);
     std::string routingPolicy = "project";
+    std::uint64_t modelsPerEngine = 4;      ///< Models and adapters that an engine may have loaded.
+    std::uint64_t weightLoadsPerMinute = 6; ///< This zone's part of the weight store's limit.
     LogFormat logFormat = LogFormat::Text;
     LogLevel logLevel = LogLevel::Info;
 };
--- a/src/daemon/tests/fleetfixture.cpp
+++ b/src/daemon/tests/fleetfixture.cpp
@@ -194,16 +194,30 @@
 
 void FleetFixture::publish(const ObjectSet &objects)
 {
+    publishUpon(objects);
+    for (const RunningNode &running : m_nodes)
+        runUntil([&running] { return running.node->isReady(); });
+}
+
+void FleetFixture::publishUpon(const ObjectSet &objects)
+{
+    const ConfigVersion *current = node(0).config().current();
+    const LogOffset base = current ? current->version : 0;
     Json::Value params(Json::objectValue);
-    params["base"] = 0;
+    params["base"] = Json::UInt64(base);
     params["author"] = "test";
-    params["publication_id"] = "first";
+    params["publication_id"] = "upon-" + std::to_string(base);
     params["objects"] = encodeObjects(objects);
     const absl::StatusOr<Json::Value> result = operate(node(0), "publish", params);
     CHECK_TEXT(result.ok(), std::string(result.status().message()).c_str());
     CHECK((*result)["accepted"].asBool());
-    for (const RunningNode &running : m_nodes)
-        runUntil([&running] { return running.node->isReady(); });
+    const LogOffset version = (*result)["version"].asUInt64();
+    for (const RunningNode &running : m_nodes) {
+        runUntil([&running, version] {
+            const ConfigVersion *known = running.node->config().current();
+            return known && known->version >= version;
+        });
+    }
 }
 
 standin::Layout testLayout(std::size_t engines)
--- a/src/daemon/tests/fleetfixture.h
+++ b/src/daemon/tests/fleetfixture.h
@@ -53,6 +53,8 @@
 
     /// Publishes a set through the first daemon and waits until it is in force on all.
     void publish(const ObjectSet &objects);
+    /// Publishes a set upon the one in force and waits until it is in force on all.
+    void publishUpon(const ObjectSet &objects);
     /// Runs the loop until \a condition holds; fails the test after a minute.
     void runUntil(const std::function<bool()> &condition);
     /// Runs the loop for \a span.
--- a/src/daemon/tests/nodetest.cpp
+++ b/src/daemon/tests/nodetest.cpp
@@ -2,7 +2,6 @@
 #include <string>
 #include <vector>
 
-#include "config/objectcodec.h"
 #include "fleetfixture.h"
 
 #include <CppUTest/TestHarness.h>
@@ -185,14 +184,7 @@
     limit.streams = 1;
     objects.limits["one"] = limit;
     objects.organisations["org"].limit = "one";
-    Json::Value params(Json::objectValue);
-    params["base"] = Json::UInt64(fleet.node(0).config().current()->version);
-    params["author"] = "test";
-    params["publication_id"] = "second";
-    params["objects"] = encodeObjects(objects);
-    CHECK(fleet.operate(fleet.node(0), "publish", params).ok());
-    const LogOffset version = fleet.node(0).config().current()->version;
-    fleet.runUntil([&] { return fleet.node(1).config().current()->version == version; });
+    fleet.publishUpon(objects);
     std::vector<std::shared_ptr<CallerAnswer>> answers;
     for (int i = 0; i < 8; ++i)
         answers.push_back(fleet.complete(fleet.node(0), StreamBody));
@@ -209,6 +201,25 @@
     CHECK(refused >= 7);
 }
 
+TEST(Node, firstRequestUnderALimitIsNotRefused)
+{
+    ObjectSet objects = testObjects();
+    LimitObject limit;
+    limit.name = "ample";
+    limit.requestsPerSecond = 50;
+    limit.tokensPerSecond = 6000;
+    limit.streams = 8;
+    objects.limits["ample"] = limit;
+    objects.organisations["org"].limit = "ample";
+    fleet.publishUpon(objects);
+    for (std::size_t i = 0; i < 2; ++i) {
+        const std::shared_ptr<CallerAnswer> answer = fleet.complete(
+                fleet.node(i), R"({"model":"small","prompt":"ready?","max_tokens":3})");
+        fleet.runUntil([&] { return answer->isEnded; });
+        CHECK_EQUAL(200, answer->status);
+    }
+}
+
 TEST(Node, explainsAndReportsToOperatorsWithTheKeyAlone)
 {
     const std::shared_ptr<CallerAnswer> answer = fleet.complete(fleet.node(0), StreamBody);
--- a/src/limits/sharinglimiter.cpp
+++ b/src/limits/sharinglimiter.cpp
@@ -386,8 +386,11 @@
     return share;
 }
 
+// A node that is alone in its zone has nobody there to leave a part to.
 Share SharingLimiter::nodeStanding(const std::string &limit) const
 {
+    if (m_ownership.nodesInZone() <= 1)
+        return zoneStanding(limit);
     return standingShare(zoneStanding(limit), m_ownership.nodesInZone());
 }
 
--- a/utils/demo.sh
+++ b/utils/demo.sh
@@ -50,7 +50,7 @@
     for zone in a b c; do
         printf '[[target]]\nid = "engine-%s"\nzone = "demo-%s"\npool = "engines"\nendpoint = "%s.%d:9000"\n' \
             "$zone" "$zone" "$net" "$i"
-        echo 'models = ["planner-70b", "assistant-8b", "frozen-catalogue", "hydraulics-70b", "drainage-codes", "triage-8b"]'
+        echo 'models = ["planner-70b@2026-11", "assistant-8b@2026-10", "frozen-catalogue@7", "hydraulics-70b@3", "drainage-codes@4", "triage-8b@12"]'
         echo 'mean_tokens = 100000'
         i=$((i + 1))
     done
@@ -74,6 +74,8 @@
 key_file = "$work/operators.key"
 [platform]
 endpoint = "$platform"
+[placement]
+models_per_engine = 6
 [drain]
 announce_time = "500ms"
 SETTINGS
@@ -147,7 +149,7 @@
 stream "$net.11" demo-key-armor-cuisines restock-plans 'Plan the week for the canteens of Rennes.' 400 "$work/plan.1" &
 plan=$!
 stream "$net.12" demo-key-up-hydraulics triage 'Is the Marikina case ready to run?' 40 "$work/triage"
-grep -q '^data: \[DONE\]' "$work/triage" || die "the triage answer is not whole"
+grep -q '^data: \[DONE\]' "$work/triage" || die "the triage answer is not whole: $(tail -c 300 "$work/triage")"
 echo "triage answer: $(positions "$work/triage" | wc -l) tokens, whole"
 
 say "Reserving a pallet twice with one key"
@@ -179,6 +181,10 @@
 positions "$work/plan.1" "$work/plan.2" | awk '$1 != NR {exit 1}' || die "a token is missing or doubled"
 echo "resumed and whole: $(positions "$work/plan.1" "$work/plan.2" | wc -l) tokens, each once and in order"
 
+say "Reporting service-level burn, merged from the daemons that are left"
+operate report burn --page "$work/burn.html"
+grep -q '<svg' "$work/burn.html" || die "the page has no plots"
+
 if [ "$keep" = yes ]; then
     trap - EXIT
     cat <<HINT
