--- a/src/membership/gossipmembership.cpp
+++ b/src/membership/gossipmembership.cpp
@@ -39,7 +39,7 @@
     m_self.state = MemberState::Alive;
     m_self.changedAt = timers.now();
     m_table.put(m_self);
-    addSeeds(options.seeds);
+    GossipMembership::addSeeds(options.seeds);
 }
 
 GossipMembership::~GossipMembership()
