--- a/src/calls/logclaims.cpp
+++ b/src/calls/logclaims.cpp
@@ -180,11 +180,10 @@
     evaluateAll(std::vector<Number>(read.atEnd.begin(), read.atEnd.end()));
 }
 
-// Takes a copy, for answers add and remove waiters.
-void LogClaims::evaluateAll(const std::vector<Number> &numbers)
+// By value, for answers add and remove waiters.
+void LogClaims::evaluateAll(std::vector<Number> numbers)
 {
-    const std::vector<Number> copy = numbers;
-    for (const Number number : copy)
+    for (const Number number : numbers)
         evaluate(number);
 }
 
--- a/src/calls/logclaims.h
+++ b/src/calls/logclaims.h
@@ -106,7 +106,7 @@
     void append(Number number, Waiter &waiter);
     void onAppended(Number number, const absl::StatusOr<LogOffset> &offset);
     void evaluate(Number number);
-    void evaluateAll(const std::vector<Number> &numbers);
+    void evaluateAll(std::vector<Number> numbers);
     std::optional<ClaimAnswer> verdict(const Waiter &waiter, const ClaimIndex::Entry *entry);
     std::optional<ClaimAnswer> lookUpVerdict(const Waiter &waiter, const ClaimIndex::Claim *holder);
     bool isRead(const Waiter &waiter);
