--- a/src/bench/command.h
+++ b/src/bench/command.h
@@ -3,12 +3,13 @@
 
 namespace currantwalk {
 
-/// One benchmark of the program; \a run takes the arguments from its own name on and returns the
-/// exit code.
+/// One sub-command of currantwalk-bench.
 struct BenchCommand
 {
     const char *name;
     const char *summary;
+    /// Runs with its own arguments, argv[0] being the sub-command's name. Returns an exit code of
+    /// sysexits.h.
     int (*run)(int argc, const char **argv);
 };
 
--- a/src/calls/plaincall.h
+++ b/src/calls/plaincall.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/error.h"
@@ -54,10 +55,25 @@
 struct ClaimAnswer
 {
     ClaimVerdict verdict = ClaimVerdict::Unknown;
-    std::optional<PlainResponse> result; ///< With Done.
-    absl::Status status;                 ///< With NotClaimed and Conflict.
+    /// With Done; nothing where the result was too large to keep.
+    std::optional<PlainResponse> result;
+    absl::Status status; ///< With Unknown, Conflict and NotClaimed.
 };
 
+/// Where a request to a plain service stands.
+enum class PlainState {
+    New,
+    Claiming,  ///< Waits for its claim of the key.
+    Queued,    ///< Waits for a target.
+    Sent,      ///< Waits for the target's answer.
+    Waiting,   ///< Backs off before the next step.
+    LookingUp, ///< Asks the target what became of the request.
+    Settled,
+};
+
+/// Returns "new", "claiming", "queued", "sent", "waiting", "looking-up" or "settled".
+std::string_view plainStateName(PlainState state);
+
 /// What the call asks of its surroundings. All are required; none calls back from within itself.
 struct PlainHooks
 {
@@ -66,12 +82,15 @@
     /// Sends the request to the target.
     std::function<void(std::uint64_t exchange, const TargetId &target)> send;
     std::function<void(std::uint64_t exchange)> abandon;
-    /// Claims the key (or, where the caller sent none, the request's own id); onClaim() answers.
+    /// Claims the caller's key; onClaim() answers. Without a key nobody else can send the request.
     std::function<void()> claim;
     /// Records the result of a claim that was won, for others that claim the same key.
     std::function<void(const PlainResponse &response)> recordResult;
     /// Records that a claim that was won has not been used and never will be.
     std::function<void()> recordNotRun;
+    /// Records that what became of a claim that was won will not be known. May be left empty: then
+    /// others that claim the key wait for a result until their deadlines.
+    std::function<void()> recordUnknown;
     /// Asks a target that stores keys what became of the request; onKeyLookup() answers.
     std::function<void(std::uint64_t exchange, const TargetId &target)> lookUpKey;
     std::function<void(const PlainResponse &response)> finish;
@@ -95,6 +114,9 @@
                                    Duration retryAfter) = 0;
     virtual void onClaim(const ClaimAnswer &answer) = 0;
     virtual void onResponse(std::uint64_t exchange, PlainResponse response) = 0;
+    /// \a wasSent tells whether any of the request may have reached the target. TargetRefused and
+    /// TargetBusy then say that the target refused, in a way its protocol defines, before it ran
+    /// anything; an HTTP status that does not promise this is a response.
     virtual void onExchangeFailed(std::uint64_t exchange, const absl::Status &status,
                                   bool wasSent) = 0;
     /// \a response is what the target stored for the key; nothing where it has not run it.
@@ -104,6 +126,7 @@
     virtual void onCallerGone() = 0;
 
     virtual bool isSettled() const = 0;
+    virtual PlainState state() const = 0;
     virtual const PlainRequest &request() const = 0;
     virtual std::uint64_t droppedAnswers() const = 0;
 };
--- /dev/null
+++ b/src/routing/dispatcher.cpp
@@ -0,0 +1,106 @@
+#include "routing/dispatcher.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace currantwalk {
+
+/// Least time between two passes over the waiting, so that a burst of events costs one pass.
+static constexpr Duration PassInterval = std::chrono::milliseconds(2);
+/// When to come back where the policy names no time.
+static constexpr Duration DefaultRetryAfter = std::chrono::seconds(2);
+
+static Placement refusal(const RoutingDecision &decision)
+{
+    const bool isWithoutTarget = decision.reason.rule == "no-target";
+    Placement placement;
+    placement.status = isWithoutTarget
+                               ? makeError(ErrorCode::NoTarget, "no target can take the request")
+                               : makeError(ErrorCode::Overloaded, "no room at any target");
+    placement.retryAfter =
+            decision.retryAfter > Duration(0) ? decision.retryAfter : DefaultRetryAfter;
+    placement.reason = decision.reason;
+    return placement;
+}
+
+Dispatcher::Dispatcher(RoutingPolicy &policy, Candidates candidates, TimerService &timers)
+    : m_policy(policy), m_timers(timers)
+{
+    Admission::Hooks hooks;
+    hooks.candidates = std::move(candidates);
+    hooks.place = [this](const RoutingRequest &request, const RoutingDecision &decision) {
+        Placement placement;
+        placement.target = decision.target;
+        placement.reason = decision.reason;
+        answer(request.id, std::move(placement), true);
+    };
+    hooks.shed = [this](const RoutingRequest &request, const RoutingDecision &decision) {
+        answer(request.id, refusal(decision), false);
+    };
+    m_admission = Admission::create(policy, std::move(hooks), timers);
+}
+
+Dispatcher::~Dispatcher()
+{
+    m_timers.cancel(m_changeTimer);
+    for (const auto &[ticket, waiter] : m_waiters)
+        m_timers.cancel(waiter.answerTimer);
+}
+
+TicketId Dispatcher::submit(RoutingRequest request, Callback callback)
+{
+    assert(!m_tickets.contains(request.id) && "a request waits once at a time");
+    const TicketId ticket = ++m_lastTicket;
+    Waiter waiter;
+    waiter.request = request.id;
+    waiter.callback = std::move(callback);
+    waiter.arrivedAt = request.arrivedAt;
+    m_tickets.emplace(request.id, ticket);
+    m_waiters.emplace(ticket, std::move(waiter));
+    m_admission->submit(std::move(request));
+    return ticket;
+}
+
+// A placement that nobody waits for any more gives back what it reserved.
+void Dispatcher::cancel(TicketId ticket)
+{
+    const auto it = m_waiters.find(ticket);
+    if (it == m_waiters.end())
+        return;
+    const Waiter waiter = std::move(it->second);
+    m_tickets.erase(waiter.request);
+    m_waiters.erase(it);
+    m_timers.cancel(waiter.answerTimer);
+    if (waiter.isPlaced)
+        m_policy.onReleased(waiter.request, false, 0, m_timers.now());
+    else if (waiter.answerTimer == NoTimer)
+        m_admission->cancel(waiter.request);
+}
+
+void Dispatcher::onChange()
+{
+    if (m_changeTimer != NoTimer || m_admission->held() == 0)
+        return;
+    m_changeTimer = m_timers.subscribeAfter(PassInterval, [this] {
+        m_changeTimer = NoTimer;
+        m_admission->onChange();
+    });
+}
+
+void Dispatcher::answer(const RequestId &request, Placement placement, bool isPlaced)
+{
+    const auto ticket = m_tickets.find(request);
+    assert(ticket != m_tickets.end() && "only a waiting request is answered");
+    Waiter &waiter = m_waiters.at(ticket->second);
+    placement.held = std::chrono::duration_cast<Duration>(m_timers.now() - waiter.arrivedAt);
+    waiter.isPlaced = isPlaced;
+    waiter.answerTimer = m_timers.subscribeAfter(
+            Duration(0), [this, id = ticket->second, placement = std::move(placement)] {
+                auto node = m_waiters.extract(id);
+                m_tickets.erase(node.mapped().request);
+                node.mapped().callback(placement);
+            });
+}
+
+} // namespace currantwalk
--- /dev/null
+++ b/src/routing/zonepolicy.cpp
@@ -0,0 +1,89 @@
+#include "routing/zonepolicy.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace currantwalk {
+
+static constexpr Duration NoTargetRecheck = std::chrono::milliseconds(250);
+static constexpr Duration NoTargetRetryAfter = std::chrono::seconds(2);
+
+namespace {
+
+class ZonePolicy : public RoutingPolicy
+{
+public:
+    ZonePolicy(std::unique_ptr<RoutingPolicy> inner, std::string zone)
+        : m_inner(std::move(inner)), m_zone(std::move(zone))
+    {
+    }
+
+    RoutingDecision decide(const RoutingRequest &request,
+                           const std::vector<const Target *> &candidates, TimePoint now) override;
+
+    void onPlaced(const RoutingRequest &request, const TargetId &target, TimePoint now) override
+    {
+        m_inner->onPlaced(request, target, now);
+    }
+    void onToken(const RequestId &request, std::uint32_t generated, TimePoint now) override
+    {
+        m_inner->onToken(request, generated, now);
+    }
+    void onReleased(const RequestId &request, bool isComplete, std::uint32_t generated,
+                    TimePoint now) override
+    {
+        m_inner->onReleased(request, isComplete, generated, now);
+    }
+    void onLoad(const Target &target, TimePoint now) override { m_inner->onLoad(target, now); }
+    void onCacheEvent(const TargetId &target, std::uint64_t prefixHash, bool isCached) override
+    {
+        m_inner->onCacheEvent(target, prefixHash, isCached);
+    }
+    void onTargetGone(const TargetId &target) override { m_inner->onTargetGone(target); }
+    void onNodeCount(std::uint32_t nodes) override { m_inner->onNodeCount(nodes); }
+
+private:
+    std::unique_ptr<RoutingPolicy> m_inner;
+    const std::string m_zone;
+};
+
+} // namespace
+
+// A request that excludes targets is told at once: its call may try those again.
+static RoutingDecision withoutCandidates(const RoutingRequest &request, TimePoint now)
+{
+    RoutingDecision decision;
+    const bool isWaitUseless = !request.excluded.empty();
+    decision.verdict = isWaitUseless ? RoutingVerdict::Shed : RoutingVerdict::Hold;
+    decision.askAgainAt = now + NoTargetRecheck;
+    decision.retryAfter = NoTargetRetryAfter;
+    decision.reason.rule = "no-target";
+    return decision;
+}
+
+RoutingDecision ZonePolicy::decide(const RoutingRequest &request,
+                                   const std::vector<const Target *> &candidates, TimePoint now)
+{
+    std::vector<const Target *> local = candidates;
+    const auto isLocal = [this](const Target *target) { return target->zone == m_zone; };
+    const auto firstRemote = std::stable_partition(local.begin(), local.end(), isLocal);
+    const std::vector<const Target *> remote(firstRemote, local.end());
+    local.erase(firstRemote, local.end());
+    if (local.empty() && remote.empty())
+        return withoutCandidates(request, now);
+    if (local.empty())
+        return m_inner->decide(request, remote, now);
+    const RoutingDecision atHome = m_inner->decide(request, local, now);
+    if (atHome.verdict == RoutingVerdict::Place || remote.empty())
+        return atHome;
+    const RoutingDecision away = m_inner->decide(request, remote, now);
+    return away.verdict == RoutingVerdict::Place ? away : atHome;
+}
+
+std::unique_ptr<RoutingPolicy> createZonePolicy(std::unique_ptr<RoutingPolicy> inner,
+                                                std::string zone)
+{
+    return std::make_unique<ZonePolicy>(std::move(inner), std::move(zone));
+}
+
+} // namespace currantwalk
--- a/tools/currantwalk-bench/main.cpp
+++ b/tools/currantwalk-bench/main.cpp
@@ -1,7 +1,8 @@
-#include <array>
-#include <cstdlib>
-#include <iostream>
-#include <string_view>
+#include <cstdio>
+#include <cstring>
+#include <vector>
+
+#include <sysexits.h>
 
 #include "bench/command.h"
 #include "bench/decisions.h"
@@ -9,16 +10,31 @@
 
 using namespace currantwalk;
 
-static const std::array<const BenchCommand *, 2> Commands{&PoliciesCommand, &DecisionsCommand};
+// The sub-commands, in the order of the help.
+static const std::vector<BenchCommand> Commands{PoliciesCommand, DecisionsCommand};
+
+static void printUsage(std::FILE *stream)
+{
+    std::fputs("usage: currantwalk-bench COMMAND [OPTION...]\n\ncommands:\n", stream);
+    for (const BenchCommand &command : Commands)
+        std::fprintf(stream, "  %-12s %s\n", command.name, command.summary);
+}
 
 int main(int argc, const char **argv)
 {
-    for (const BenchCommand *command : Commands) {
-        if (argc > 1 && std::string_view(argv[1]) == command->name)
-            return command->run(argc - 1, argv + 1);
+    if (argc < 2) {
+        printUsage(stderr);
+        return EX_USAGE;
+    }
+    if (std::strcmp(argv[1], "--help") == 0) {
+        printUsage(stdout);
+        return EX_OK;
+    }
+    for (const BenchCommand &command : Commands) {
+        if (std::strcmp(argv[1], command.name) == 0)
+            return command.run(argc - 1, argv + 1);
     }
-    std::cerr << "usage: currantwalk-bench COMMAND [OPTION...]\n";
-    for (const BenchCommand *command : Commands)
-        std::cerr << "  " << command->name << ": " << command->summary << '\n';
-    return EXIT_FAILURE;
+    std::fprintf(stderr, "currantwalk-bench: unknown command \"%s\"\n", argv[1]);
+    printUsage(stderr);
+    return EX_USAGE;
 }
