Poison tracker makes room a tenth at a time

Cause: each new fingerprint in a full table searched all 10,000 entries; the test of a flood took most of the time of the sanitizer run. Change: one selection drops the tenth that matters least, refusals last.

--- a/src/calls/poisontracker.cpp
+++ b/src/calls/poisontracker.cpp
@@ -1,6 +1,8 @@
 #include "calls/poisontracker.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 
@@ -186,21 +188,22 @@
     return true;
 }
 
-// Refusals go last: forgetting one costs a target.
+// Refusals go last: forgetting one costs a target. A tenth goes at once, so that a flood does not
+// search the table for each request.
 void PoisonTable::makeRoom()
 {
     if (m_records.size() < MaxEntries)
         return;
-    std::erase_if(m_records, [this](const auto &row) { return isExpired(row.second); });
-    if (m_records.size() < MaxEntries)
-        return;
-    const auto rank = [](const Record &record) {
-        return std::make_pair(suspicionOf(record) == Suspicion::Refused, record.lastDeathAt);
-    };
-    m_records.erase(std::min_element(m_records.begin(), m_records.end(),
-                                     [&rank](const auto &left, const auto &right) {
-                                         return rank(left.second) < rank(right.second);
-                                     }));
+    using Ranked = std::tuple<bool, TimePoint, std::uint64_t>;
+    std::vector<Ranked> ranked;
+    for (const auto &[fingerprint, record] : m_records) {
+        const bool isRefused = suspicionOf(record) == Suspicion::Refused && !isExpired(record);
+        ranked.emplace_back(isRefused, record.lastDeathAt, fingerprint);
+    }
+    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(MaxEntries / 10);
+    std::nth_element(ranked.begin(), end, ranked.end());
+    std::for_each(ranked.begin(), end,
+                  [this](const Ranked &row) { m_records.erase(std::get<2>(row)); });
 }
 
 std::vector<PoisonTracker::Entry> PoisonTable::entries() const
