--- a/src/routing/headroomledger.cpp
+++ b/src/routing/headroomledger.cpp
@@ -9,6 +9,8 @@
 namespace currantwalk {
 
 static constexpr float GrowthRate = 0.02F; // Weight of one engine's present growth in the average.
+static constexpr float LeastResidence =
+        0.1F; // s; generations that end at once must not divide by 0.
 static constexpr double ResidenceRate = 0.02; // Weight of one generation in the average.
 static constexpr float SameEngine = 0.7F;     // Part of the others' sends that go where ours went.
 
@@ -179,7 +181,7 @@
                                float margin, TimePoint now) const
 {
     const float age = secondsBetween(engine.reportedAt, now);
-    const float lives = age / static_cast<float>(m_residence);
+    const float lives = age / std::max(LeastResidence, static_cast<float>(m_residence));
     const float left = 1 / (1 + lives + lives * lives / 2);
     const float others = engine.othersTokens * left;
     const float nodes = static_cast<float>(m_nodes - 1);
