--- a/src/membership/tests/membershiptest.cpp
+++ b/src/membership/tests/membershiptest.cpp
@@ -140,7 +140,8 @@
     for (int second = 10; second <= 60; second += 10) {
         fleet.advance(10s);
         for (const auto &[vm, node] : fleet.nodes())
-            CHECK(node->membership->bytesSent() <= 300 * static_cast<std::uint64_t>(second) + Burst);
+            CHECK(node->membership->bytesSent()
+                  <= 300 * static_cast<std::uint64_t>(second) + Burst);
     }
 }
 
