Daemon: one set of cancellations, deaths told at once to the poison tracker, node in three files

Change: calls/Cancellations in place of the daemon's Canceller; targetLost counts as a death at once and a refused request is not placed again; claims record an unknown outcome; suspected members are asked for readers; node.cpp, nodepeers.cpp, nodetargets.cpp.

--- a/src/daemon/generationsession.cpp
+++ b/src/daemon/generationsession.cpp
@@ -10,8 +10,6 @@
 
 /// Bytes that wait for a caller's connection before the call is told to hold back.
 static constexpr std::size_t MaxPendingBytes = std::size_t{64} * 1024;
-/// Longest time from a broken connection to the confirmed death of its target.
-static constexpr Duration DeathConfirmationTime = std::chrono::seconds(10);
 
 GenerationSession::GenerationSession(const RequestServices &services,
                                      std::shared_ptr<HttpExchange> exchange, GenerationOrder order,
@@ -58,7 +56,8 @@
     hooks.targetLost = [this](const TargetId &target) {
         m_services.metrics.count("currantwalk_targets_lost_total");
         m_services.targets.onSuspectedDead(target);
-        m_isTargetSuspected = true;
+        if (m_runningAt)
+            m_services.poison.onLost(m_order.request.fingerprint, target, *m_runningAt);
     };
     hooks.takeRetry = [this] {
         const bool isAllowed = m_services.retryBudget(m_order.request.service).take();
@@ -115,6 +114,16 @@
 void GenerationSession::place(std::uint64_t exchange, const std::vector<TargetId> &excluded)
 {
     release(false);
+    const Suspicion suspicion = m_services.poison.suspicion(m_order.request.fingerprint);
+    if (suspicion == Suspicion::Refused) {
+        later([this, exchange] {
+            m_call->onPlacementFailed(exchange,
+                                      makeError(ErrorCode::PoisonousRequest,
+                                                "targets died while running this request"),
+                                      Duration(0));
+        });
+        return;
+    }
     RoutingRequest request;
     request.id = m_order.request.id;
     request.model = m_order.request.model;
@@ -127,8 +136,7 @@
     request.arrivedAt = m_services.timers.now();
     request.holdUntil = std::min(m_order.request.deadline, request.arrivedAt + m_order.maxHold);
     request.excluded = excluded;
-    request.isSuspect =
-            m_services.poison.suspicion(m_order.request.fingerprint) == Suspicion::Suspect;
+    request.isSuspect = suspicion == Suspicion::Suspect;
     m_ticket = m_services.dispatcher.submit(std::move(request),
                                             [this, exchange](const Placement &placement) {
                                                 m_ticket = 0;
@@ -154,7 +162,11 @@
     const Target *engine = m_services.targets.find(attempt.target);
     if (!engine)
         return failLater(exchange, ErrorCode::ConnectFailed, "the engine is no longer known");
-    m_services.poison.onRunning(m_order.request.fingerprint, engine->id, engine->incarnation);
+    // A repeated open of one attempt is the same run.
+    if (!m_runningAt) {
+        m_runningAt = engine->incarnation;
+        m_services.poison.onRunning(m_order.request.fingerprint, engine->id, *m_runningAt);
+    }
     m_engineExchangeNumber = exchange;
     m_engineExchange = m_services.link.open(*engine, attempt, m_order.request,
                                             exchangeHooks(exchange, engine->id));
@@ -204,11 +216,18 @@
 
 void GenerationSession::failLater(std::uint64_t exchange, ErrorCode code, const char *detail)
 {
-    m_services.timers.subscribeAfter(
-            Duration(0), [this, isAlive = m_isAlive, exchange, status = makeError(code, detail)] {
-                if (*isAlive)
-                    m_call->onExchangeFailed(exchange, status, false);
-            });
+    later([this, exchange, status = makeError(code, detail)] {
+        m_call->onExchangeFailed(exchange, status, false);
+    });
+}
+
+void GenerationSession::later(std::function<void()> action)
+{
+    m_services.timers.subscribeAfter(Duration(0),
+                                     [isAlive = m_isAlive, action = std::move(action)] {
+                                         if (*isAlive)
+                                             action();
+                                     });
 }
 
 // The exchange may be the one whose callback is running, so it is destroyed later.
@@ -350,23 +369,9 @@
     const TargetId target = *std::exchange(m_placedAt, std::nullopt);
     m_services.policy.onReleased(m_order.request.id, isComplete, m_generated,
                                  m_services.timers.now());
-    releasePoison(target, isComplete);
+    m_services.poison.onReleased(m_order.request.fingerprint, target, isComplete);
+    m_runningAt.reset();
     m_services.dispatcher.onChange();
 }
 
-// A death is confirmed by probes some time after its connections broke; until then the request
-// still counts as having run there.
-void GenerationSession::releasePoison(const TargetId &target, bool isComplete)
-{
-    const std::uint64_t fingerprint = m_order.request.fingerprint;
-    if (!std::exchange(m_isTargetSuspected, false)) {
-        m_services.poison.onReleased(fingerprint, target, isComplete);
-        return;
-    }
-    m_services.timers.subscribeAfter(DeathConfirmationTime,
-                                     [&poison = m_services.poison, fingerprint, target] {
-                                         poison.onReleased(fingerprint, target, false);
-                                     });
-}
-
 } // namespace currantwalk
--- a/src/daemon/generationsession.h
+++ b/src/daemon/generationsession.h
@@ -68,7 +68,7 @@
     void fail(const absl::Status &status, Outcome outcome, Duration retryAfter);
     void settle(Ending ending);
     void release(bool isComplete);
-    void releasePoison(const TargetId &target, bool isComplete);
+    void later(std::function<void()> action);
     void startAnswer();
     void updateBlocked();
 
@@ -81,6 +81,7 @@
     std::uint64_t m_engineExchangeNumber = 0;
     TicketId m_ticket = 0;
     std::optional<TargetId> m_placedAt;
+    std::optional<Incarnation> m_runningAt; ///< Of the engine, once the prompt was sent there.
     std::optional<GenerationId> m_generation;
     std::string m_text; ///< Of a whole answer.
     std::uint32_t m_delivered = 0;
@@ -90,7 +91,6 @@
     TimerId m_blockedTimer = NoTimer;
     bool m_isAnswerStarted = false;
     bool m_isBlocked = false;
-    bool m_isTargetSuspected = false;
     /// Callbacks that outlive the session look here first.
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "base/json.h"
-#include "daemon/burncollector.h"
 #include "daemon/operatorsapi.h"
 #include "observe/logging.h"
 #include "routing/zonepolicy.h"
@@ -14,10 +13,6 @@
 
 static constexpr std::size_t MaxFetchedBytes = std::size_t{8} * 1024 * 1024;
 static constexpr std::size_t RememberedDecisions = 10000;
-static constexpr Duration VmListInterval = std::chrono::seconds(2);
-static constexpr Duration PrefixEventInterval = std::chrono::seconds(2);
-static constexpr Duration PullRetryInterval = std::chrono::milliseconds(500);
-static constexpr std::size_t WatchersPerTarget = 2;
 static constexpr double RetryReserve = 10; ///< Retries that an idle service may spend at once.
 static constexpr double DefaultRetryShare = 0.1;
 
@@ -153,6 +148,8 @@
 {
     TargetTable::Options options;
     options.zone = m_settings.zone;
+    // Nodes that start together would otherwise share the same rows at the same time.
+    options.sharePhase = m_random.jitter(options.shareInterval);
     TargetTable::Hooks hooks;
     hooks.probe = [this](const Target &target) { probeTarget(target); };
     hooks.isWatcher = [this](const TargetId &target) { return isWatcher(target); };
@@ -203,8 +200,12 @@
     options.incarnation = m_incarnation;
     options.recordLifetime = m_settings.logRecordLifetime;
     m_claims = Claims::create(options, m_platform.logHooks(), m_loop.timers());
-    m_canceller =
-            std::make_unique<Canceller>(*m_targets, m_link, m_loop.timers(), m_random, m_metrics);
+    m_cancellations = std::make_unique<Cancellations>(
+            [this](std::uint64_t number, const GenerationAttempt &attempt,
+                   const std::optional<GenerationId> &generation) {
+                sendCancel(number, attempt, generation);
+            },
+            m_loop.timers(), m_random);
     m_services = std::make_unique<RequestServices>(requestServices());
     CallersApi::Hooks hooks;
     hooks.index = [this] { return m_index.get(); };
@@ -216,6 +217,22 @@
                                              std::move(hooks), *m_services);
 }
 
+void Node::sendCancel(std::uint64_t number, const GenerationAttempt &attempt,
+                      const std::optional<GenerationId> &generation)
+{
+    const Target *engine = m_targets->find(generation ? generation->target : attempt.target);
+    if (!engine) {
+        m_loop.timers().subscribeAfter(Duration(0), [this, number] {
+            m_cancellations->onAnswer(
+                    number, makeError(ErrorCode::ConnectFailed, "the engine is not known"));
+        });
+        return;
+    }
+    m_link.cancel(*engine, attempt, generation, [this, number](const absl::Status &status) {
+        m_cancellations->onAnswer(number, status);
+    });
+}
+
 // Both sides of a link know the peers' key, so a key derived from it can sign resume tokens.
 static std::string resumeKeyFrom(const std::string &peersKey)
 {
@@ -229,7 +246,7 @@
     };
     const auto askReaders = [this](const GenerationId &generation,
                                    const std::function<void(bool)> &callback) {
-        const std::vector<Member> others = otherMembers();
+        const std::vector<Member> others = possibleReaders();
         if (others.empty())
             m_loop.timers().subscribeAfter(Duration(0), [callback] { callback(false); });
         m_peers.askReaders(others, generation, callback);
@@ -239,7 +256,7 @@
     };
     const auto cancel = [this](const GenerationAttempt &attempt,
                                const std::optional<GenerationId> &generation) {
-        m_canceller->cancel(attempt, generation);
+        m_cancellations->add(attempt, generation);
     };
     const auto record = [this](const RequestRecord &ended) {
         const BurnKey key{ended.service, ended.organisation, m_settings.zone};
@@ -274,21 +291,6 @@
             m_platform, m_loop.timers(), m_random);
 }
 
-void Node::collectBurn(std::function<void(const BurnSnapshot &, std::size_t missing)> callback)
-{
-    currantwalk::collectBurn(m_peers, otherMembers(), m_burn.snapshot(m_loop.timers().now()),
-                             std::move(callback));
-}
-
-std::vector<Member> Node::otherMembers() const
-{
-    std::vector<Member> others = m_membership->members();
-    std::erase_if(others, [this](const Member &member) {
-        return member.state != MemberState::Alive || member.vm.text() == m_settings.vm;
-    });
-    return others;
-}
-
 void Node::createDrain()
 {
     Drain::Options options;
@@ -299,7 +301,7 @@
                 "Phase is " + std::string(drainPhaseName(phase)) + ".");
     };
     hooks.requestsInProgress = [this] {
-        return m_callers->requestsInProgress() + m_canceller->unconfirmed();
+        return m_callers->requestsInProgress() + m_cancellations->pending();
     };
     hooks.unsettledClaims = [this] { return m_claims->unsettled(); };
     hooks.handOver = [this] {
@@ -333,6 +335,16 @@
     m_metrics.set("currantwalk_config_version", {}, static_cast<double>(version));
     m_metrics.set("currantwalk_config_divergences", {},
                   static_cast<double>(m_config->divergences()));
+    m_metrics.set("currantwalk_membership_messages_refused", {},
+                  static_cast<double>(m_membership->messagesRefused()));
+    m_metrics.set("currantwalk_membership_messages_held_back", {},
+                  static_cast<double>(m_membership->messagesHeldBack()));
+    m_metrics.set("currantwalk_cancels_pending", {},
+                  static_cast<double>(m_cancellations->pending()));
+    m_metrics.set("currantwalk_cancels_confirmed", {},
+                  static_cast<double>(m_cancellations->confirmed()));
+    m_metrics.set("currantwalk_cancels_given_up", {},
+                  static_cast<double>(m_cancellations->givenUp()));
     m_metrics.set("currantwalk_requests_in_progress", {},
                   static_cast<double>(m_callers->requestsInProgress()));
     m_metrics.set("currantwalk_requests_held", {}, static_cast<double>(m_dispatcher->waiting()));
@@ -377,201 +389,6 @@
     m_dispatcher->onChange();
 }
 
-void Node::onMember(const Member &member)
-{
-    logLine(LogPart::Membership, LogLevel::Debug,
-            member.vm.text() + " is " + std::string(memberStateName(member.state)) + ".");
-    const std::size_t nodes = m_membership->aliveInZone(m_settings.zone).size();
-    if (m_policy)
-        m_policy->onNodeCount(static_cast<std::uint32_t>(std::max<std::size_t>(nodes, 1)));
-    pullConfig(member);
-}
-
-void Node::pullConfig(const Member &member)
-{
-    const LogOffset own = m_config && m_config->current() ? m_config->current()->version : 0;
-    if (m_isPulling || !m_config || member.configVersion <= own)
-        return;
-    m_isPulling = true;
-    m_peers.call(member.endpoint, "config", Json::Value(Json::objectValue),
-                 [this](const absl::StatusOr<Json::Value> &result) {
-                     m_isPulling = false;
-                     if (!result.ok())
-                         return retryPull();
-                     const absl::Status taken = m_config->onPeerVersion(*result);
-                     if (!taken.ok())
-                         logLine(LogPart::Config, LogLevel::Warning,
-                                 "A peer's version was refused: " + std::string(taken.message()));
-                 });
-}
-
-// A member's change is told once, so a pull that failed is tried again, at whoever is ahead then.
-void Node::retryPull()
-{
-    m_loop.timers().subscribeAfter(PullRetryInterval, [this] {
-        const std::vector<Member> others = otherMembers();
-        const auto ahead = std::max_element(others.begin(), others.end(),
-                                            [](const Member &left, const Member &right) {
-                                                return left.configVersion < right.configVersion;
-                                            });
-        if (ahead != others.end())
-            pullConfig(*ahead);
-    });
-}
-
-static void logRefused(LogPart part, const absl::Status &status)
-{
-    if (!status.ok())
-        logLine(part, LogLevel::Warning,
-                "A peer's message was refused: " + std::string(status.message()));
-}
-
-void Node::onFact(const std::string &kind, const Json::Value &fact)
-{
-    if (kind == "target") {
-        logRefused(LogPart::Targets, m_targets->onAnnouncement(fact));
-    } else if (kind == "poison") {
-        const absl::StatusOr<PoisonReport> report = decodePoisonReport(fact);
-        logRefused(LogPart::Poison, report.status());
-        if (report.ok())
-            m_poison->onReport(*report);
-    }
-}
-
-void Node::announceToZone(const char *kind, const Json::Value &fact)
-{
-    for (const Member &member : m_membership->aliveInZone(m_settings.zone)) {
-        if (member.vm.text() != m_settings.vm)
-            m_peers.notify(member.endpoint, kind, fact);
-    }
-}
-
-void Node::notifyVm(const VmId &vm, const char *method, const Json::Value &message)
-{
-    for (const Member &member : m_membership->members()) {
-        if (member.vm == vm && vm.text() != m_settings.vm)
-            m_peers.notify(member.endpoint, method, message);
-    }
-}
-
-void Node::refreshVmList()
-{
-    m_platform.fetchVms([this](const absl::StatusOr<VmList> &list) {
-        if (list.ok()) {
-            std::vector<Endpoint> seeds;
-            for (const ListedVm &vm : list->entryVms)
-                seeds.push_back(vm.endpoint);
-            m_membership->addSeeds(seeds);
-            m_targets->onList(list->targets);
-        }
-        m_loop.timers().subscribeAfter(VmListInterval, [this] { refreshVmList(); });
-    });
-}
-
-bool Node::isWatcher(const TargetId &target) const
-{
-    const std::vector<Member> nodes = m_membership->aliveInZone(m_settings.zone);
-    const std::vector<Member> watchers = rendezvousMembers(nodes, target.text(), WatchersPerTarget);
-    return std::any_of(watchers.begin(), watchers.end(),
-                       [this](const Member &member) { return member.vm.text() == m_settings.vm; });
-}
-
-void Node::probeTarget(const Target &target)
-{
-    const TargetTable::Options options;
-    m_link.probe(target, options.probeTimeout,
-                 [this, id = target.id](const absl::StatusOr<TargetReport> &report) {
-                     if (report.ok())
-                         m_targets->onReport(*report);
-                     else
-                         m_targets->onProbeFailed(id);
-                 });
-}
-
-void Node::onTargetChange(const Target &target)
-{
-    Incarnation &known = m_incarnations[target.id];
-    const Incarnation before = std::exchange(known, std::max(known, target.incarnation));
-    const bool isRestarted = before > 0 && target.incarnation > before;
-    const bool isGone = target.state == TargetState::Gone;
-    if (!m_callers)
-        return;
-    if (isRestarted || isGone) {
-        const Incarnation dead = isGone ? target.incarnation : target.incarnation - 1;
-        logLine(LogPart::Targets, LogLevel::Warning,
-                target.id.text() + (isGone ? " is gone." : " restarted."));
-        m_policy->onTargetGone(target.id);
-        m_nextPrefixEvents.erase(target.id);
-        m_poison->onTargetDied(target.id, dead);
-        m_callers->onTargetGone(target.id, dead);
-    }
-    const bool isNew =
-            !isGone && target.kind == TargetKind::Engine && !m_nextPrefixEvents.contains(target.id);
-    if (isNew) {
-        m_nextPrefixEvents[target.id] = 1;
-        fetchPrefixEvents(target);
-    }
-    m_dispatcher->onChange();
-}
-
-void Node::fetchPrefixEvents(const Target &target)
-{
-    const auto next = m_nextPrefixEvents.find(target.id);
-    if (next == m_nextPrefixEvents.end() || target.state == TargetState::Gone)
-        return;
-    m_link.fetchPrefixEvents(
-            target, next->second,
-            [this, id = target.id](const absl::StatusOr<std::vector<PrefixEvent>> &events) {
-                const auto position = m_nextPrefixEvents.find(id);
-                if (position == m_nextPrefixEvents.end())
-                    return;
-                if (events.ok()) {
-                    for (const PrefixEvent &event : *events) {
-                        m_policy->onCacheEvent(id, event.prefixHash, event.isCached);
-                        position->second = std::max(position->second, event.number + 1);
-                    }
-                }
-                m_loop.timers().subscribeAfter(PrefixEventInterval, [this, id] {
-                    if (const Target *known = m_targets->find(id))
-                        fetchPrefixEvents(*known);
-                });
-            });
-}
-
-std::string Node::poolOf(const RoutingRequest &request) const
-{
-    if (!m_index)
-        return "";
-    const ObjectSet &objects = m_index->objects();
-    if (request.model.empty()) {
-        const auto service = objects.services.find(request.service);
-        return service == objects.services.end() ? "" : service->second.pool;
-    }
-    return m_index->poolOf(request.model);
-}
-
-static bool isExcluded(const RoutingRequest &request, const Target &target)
-{
-    const std::vector<TargetId> &excluded = request.excluded;
-    return std::find(excluded.begin(), excluded.end(), target.id) != excluded.end();
-}
-
-// A suspect request goes only where a crash would take no other generation along.
-static bool isHarmless(const RoutingRequest &request, const Target &target)
-{
-    return !request.isSuspect || (target.load.running == 0 && target.load.waiting == 0);
-}
-
-std::vector<const Target *> Node::candidates(const RoutingRequest &request) const
-{
-    std::vector<const Target *> targets = m_targets->candidates(poolOf(request));
-    std::erase_if(targets, [&request](const Target *target) {
-        const bool isServing = request.model.empty() || target->isServing(request.model);
-        return !isServing || isExcluded(request, *target) || !isHarmless(request, *target);
-    });
-    return targets;
-}
-
 RetryBudget &Node::retryBudget(const std::string &service)
 {
     double share = DefaultRetryShare;
@@ -582,58 +399,4 @@
     return m_retryBudgets.try_emplace(service, share, RetryReserve).first->second;
 }
 
-static void respondStatus(const absl::Status &status, const RpcResponder &respondTo)
-{
-    if (status.ok())
-        respondTo(Json::Value(true));
-    else
-        respondTo(status);
-}
-
-void Node::addPeerMethods()
-{
-    RpcServer &server = m_peers.server();
-    server.addMethod("member", [this](const Json::Value &params, const RpcResponder &respondTo) {
-        m_membership->onMessage(params);
-        respondTo(Json::Value(true));
-    });
-    server.addMethod("config", [this](const Json::Value &, const RpcResponder &respondTo) {
-        if (m_config->current())
-            respondTo(m_config->encodeCurrent());
-        else
-            respondTo(makeError(ErrorCode::NotReady, "no version is known here"));
-    });
-    server.addMethod("digest", [this](const Json::Value &params, const RpcResponder &respondTo) {
-        respondStatus(m_targets->onDigest(params), respondTo);
-    });
-    server.addMethod("limits", [this](const Json::Value &params, const RpcResponder &respondTo) {
-        respondStatus(m_limiter->onMessage(params), respondTo);
-    });
-    for (const char *kind : {"target", "poison"}) {
-        server.addMethod(kind,
-                         [this, kind](const Json::Value &params, const RpcResponder &respondTo) {
-                             onFact(kind, params);
-                             respondTo(Json::Value(true));
-                         });
-    }
-    server.addMethod("burn", [this](const Json::Value &, const RpcResponder &respondTo) {
-        respondTo(m_burn.snapshot(m_loop.timers().now()).toJson());
-    });
-    server.addMethod("reading", [this](const Json::Value &params, const RpcResponder &respondTo) {
-        const absl::StatusOr<GenerationId> generation = decodeGeneration(params);
-        if (generation.ok())
-            respondTo(Json::Value(m_callers->isReading(*generation)));
-        else
-            respondTo(generation.status());
-    });
-    server.addMethod("taken-over",
-                     [this](const Json::Value &params, const RpcResponder &respondTo) {
-                         const absl::StatusOr<GenerationId> generation = decodeGeneration(params);
-                         if (!generation.ok())
-                             return respondTo(generation.status());
-                         m_callers->onTakenOver(*generation);
-                         respondTo(Json::Value(true));
-                     });
-}
-
 } // namespace currantwalk
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -7,12 +7,12 @@
 #include <string>
 
 #include "base/randomsource.h"
+#include "calls/cancellations.h"
 #include "calls/claims.h"
 #include "calls/poisontracker.h"
 #include "config/configstore.h"
 #include "config/publisher.h"
 #include "daemon/callersapi.h"
-#include "daemon/canceller.h"
 #include "daemon/decisionlog.h"
 #include "daemon/duties.h"
 #include "daemon/objectindex.h"
@@ -93,6 +93,8 @@
     void createRouting();
     void createLimits();
     void createCalls();
+    void sendCancel(std::uint64_t number, const GenerationAttempt &attempt,
+                    const std::optional<GenerationId> &generation);
     void createDuties();
     void createDrain();
     void refreshGauges();
@@ -109,6 +111,8 @@
     bool isWatcher(const TargetId &target) const;
     /// Returns the members that are alive, without this node.
     std::vector<Member> otherMembers() const;
+    /// Returns the members that may read a generation that this node began.
+    std::vector<Member> possibleReaders() const;
     void notifyVm(const VmId &vm, const char *method, const Json::Value &message);
     void announceToZone(const char *kind, const Json::Value &fact);
     std::vector<const Target *> candidates(const RoutingRequest &request) const;
@@ -141,7 +145,7 @@
     std::unique_ptr<PoisonTracker> m_poison;
     std::unique_ptr<Limiter> m_limiter;
     std::unique_ptr<Claims> m_claims;
-    std::unique_ptr<Canceller> m_canceller;
+    std::unique_ptr<Cancellations> m_cancellations;
     std::unique_ptr<Duties> m_duties;
     std::unique_ptr<Drain> m_drain;
     std::unique_ptr<RequestServices> m_services;
--- a/src/daemon/plainsession.cpp
+++ b/src/daemon/plainsession.cpp
@@ -69,6 +69,7 @@
         m_services.claims.recordNotRun(claimOf(m_order.request),
                                        makeError(ErrorCode::Cancelled, "the claim was not used"));
     };
+    hooks.recordUnknown = [this] { m_services.claims.recordUnknown(claimOf(m_order.request)); };
     hooks.lookUpKey = [this](std::uint64_t exchange, const TargetId &target) {
         lookUpKey(exchange, target);
     };
--- a/src/daemon/tests/nodetest.cpp
+++ b/src/daemon/tests/nodetest.cpp
@@ -220,6 +220,32 @@
     }
 }
 
+TEST(Node, refusesARequestThatKillsItsEngines)
+{
+    const std::vector<std::string> engines{"engine-0", "engine-1"};
+    for (const std::string &id : engines)
+        fleet.standin().engine(id)->setPoison("poison", 200ms);
+    const char *const body = R"({"model":"small","prompt":"a poison pill","max_tokens":50})";
+    const std::shared_ptr<CallerAnswer> first = fleet.complete(fleet.node(0), body);
+    fleet.runUntil([&] { return first->isEnded; });
+    STRCMP_EQUAL("poisonous_request", first->error("code").c_str());
+    const auto crashes = [&] {
+        std::uint64_t sum = 0;
+        for (const std::string &id : engines)
+            sum += fleet.standin().engine(id)->crashes();
+        return sum;
+    };
+    CHECK_EQUAL(2U, crashes());
+    const std::shared_ptr<CallerAnswer> again = fleet.complete(fleet.node(0), body);
+    fleet.runUntil([&] { return again->isEnded; });
+    CHECK_EQUAL(422, again->status);
+    CHECK_EQUAL(2U, crashes());
+    const std::shared_ptr<CallerAnswer> innocent =
+            fleet.complete(fleet.node(1), R"({"model":"small","prompt":"ready?","max_tokens":5})");
+    fleet.runUntil([&] { return innocent->isEnded; });
+    CHECK_EQUAL(200, innocent->status);
+}
+
 TEST(Node, explainsAndReportsToOperatorsWithTheKeyAlone)
 {
     const std::shared_ptr<CallerAnswer> answer = fleet.complete(fleet.node(0), StreamBody);
--- a/src/standin/engineserver.cpp
+++ b/src/standin/engineserver.cpp
@@ -7,6 +7,9 @@
 
 namespace currantwalk::standin {
 
+/// From the start of a generation to the death of the engine that it kills.
+static constexpr Duration PoisonDelay = std::chrono::milliseconds(1);
+
 static std::string sseEvent(const char *type, const Json::Value &data)
 {
     return std::string("event: ") + type + "\ndata: " + writeJson(data) + "\n\n";
@@ -77,6 +80,7 @@
 void EngineServer::crash(Duration downTime)
 {
     m_isDown = true;
+    ++m_crashes;
     cutStreams();
     m_engine.crash();
     if (downTime == Duration(0))
@@ -122,6 +126,16 @@
     if (!generation.ok())
         return replyError(*exchange, generation.status());
     stream(exchange, *generation, 0);
+    const bool isPoisonous =
+            !m_poison.empty() && request->prompt.find(m_poison) != std::string::npos;
+    if (isPoisonous)
+        m_timers.subscribeAfter(PoisonDelay, [this] { crash(m_poisonDownTime); });
+}
+
+void EngineServer::setPoison(std::string text, Duration downTime)
+{
+    m_poison = std::move(text);
+    m_poisonDownTime = downTime;
 }
 
 void EngineServer::resumeGeneration(const std::shared_ptr<HttpExchange> &exchange,
--- a/src/standin/engineserver.h
+++ b/src/standin/engineserver.h
@@ -26,6 +26,9 @@
     void crash(Duration downTime);
     bool isDown() const { return m_isDown; }
     Incarnation incarnation() const { return m_incarnation; }
+    /// Has the engine die of each prompt that contains \a text, and come back after \a downTime.
+    void setPoison(std::string text, Duration downTime);
+    std::uint64_t crashes() const { return m_crashes; }
     std::uint64_t cancels() const { return m_cancels; }
 
     /// Cuts off all answers that have begun, as a reset of the links does.
@@ -61,6 +64,9 @@
     Engine m_engine;
     Incarnation m_incarnation = 1;
     std::map<std::uint64_t, Stream> m_streams;
+    std::string m_poison; ///< Empty: none.
+    Duration m_poisonDownTime{0};
+    std::uint64_t m_crashes = 0;
     std::uint64_t m_cancels = 0;
     bool m_isDown = false;
 };
