A loop that ends calls nothing any more; one JSON reader and writer for all values

Cause: the event loop's destructor still ran rounds that handed requests to handlers, and ran due subscriptions, of owners that were gone: AddressSanitizer showed a use after free there when a benchmark ended its stand-in before the loop; a daemon at the end of its stop is alike. Ruled out: the sessions, whose callbacks look whether they are alive. Also: making a JSON reader and writer for each value cost more than small values do. Change: the destructor drops subscriptions and handlers first; parseJson and writeJson keep one reader and writer.

--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -33,17 +33,31 @@
     return &object[name];
 }
 
+// Readers and writers cost more to make than a small value costs to read or write; each is used for
+// one whole value at a time, on the one thread.
+static Json::CharReader &sharedReader()
+{
+    static const std::unique_ptr<Json::CharReader> Reader(makeReaderBuilder().newCharReader());
+    return *Reader;
+}
+
+static std::unique_ptr<Json::StreamWriter> makeWriter()
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    builder["emitUTF8"] = true;
+    return std::unique_ptr<Json::StreamWriter>(builder.newStreamWriter());
+}
+
 absl::StatusOr<Json::Value> parseJson(std::string_view text)
 {
-    static const Json::CharReaderBuilder Builder = makeReaderBuilder();
     if (!isValidUtf8(text))
         return makeError(ErrorCode::JsonInvalid, "text is not UTF-8");
-    const std::unique_ptr<Json::CharReader> reader(Builder.newCharReader());
     Json::Value value;
     std::string problems;
     // The library reports excessive depth by an exception and all else by its result.
     try {
-        if (!reader->parse(text.data(), text.data() + text.size(), &value, &problems))
+        if (!sharedReader().parse(text.data(), text.data() + text.size(), &value, &problems))
             return makeError(ErrorCode::JsonInvalid, problems);
     } catch (const Json::Exception &exception) {
         return makeError(ErrorCode::JsonInvalid, exception.what());
@@ -53,10 +67,10 @@
 
 std::string writeJson(const Json::Value &value)
 {
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    builder["emitUTF8"] = true;
-    return Json::writeString(builder, value);
+    static const std::unique_ptr<Json::StreamWriter> Writer = makeWriter();
+    std::ostringstream text;
+    Writer->write(value, &text);
+    return std::move(text).str();
 }
 
 absl::StatusOr<std::string> stringMember(const Json::Value &object, const char *name)
--- a/src/base/timerqueue.h
+++ b/src/base/timerqueue.h
@@ -46,6 +46,12 @@
         return std::move(node.mapped());
     }
 
+    void clear()
+    {
+        m_entries.clear();
+        m_times.clear();
+    }
+
     std::size_t size() const { return m_entries.size(); }
 
 private:
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -75,9 +75,11 @@
     return absl::OkStatus();
 }
 
-// The library releases a connection only from within its rounds.
+// The library releases a connection only from within its rounds. Whatever handlers and
+// subscriptions refer to may be gone by now, so none of them is called any more.
 H2oEventLoop::~H2oEventLoop()
 {
+    m_timers.close();
     m_client.reset();
     m_server.stopListening();
     m_server.disconnectAll();
--- a/src/net/h2oserver.cpp
+++ b/src/net/h2oserver.cpp
@@ -131,6 +131,7 @@
 
 void H2oListener::disconnectAll()
 {
+    m_handler = nullptr;
     for (const Connection *connection : m_connections)
         ::shutdown(h2o_socket_get_fd(connection->socket), SHUT_RDWR);
 }
@@ -187,7 +188,9 @@
     if (!status.ok())
         request->http1_is_persistent = 0;
     std::shared_ptr<H2oExchange> exchange = ResponseStream::attach(request, listener->m_timers);
-    if (status.ok())
+    if (!listener->m_handler)
+        exchange->abort();
+    else if (status.ok())
         listener->m_handler(std::move(exchange));
     else
         respond(*exchange, httpStatus(errorCode(status)), "application/json", refusalBody(status));
--- a/src/net/h2oserver.h
+++ b/src/net/h2oserver.h
@@ -24,7 +24,8 @@
     const Endpoint &endpoint() const { return m_endpoint; }
     std::size_t connections() const { return m_connections.size(); }
     void stopListening();
-    /// Makes every open connection fail; the loop's next rounds then release them.
+    /// Makes every open connection fail and hands on no request that still comes; the loop's next
+    /// rounds then release the connections.
     void disconnectAll();
 
 private:
--- a/src/net/looptimerservice.cpp
+++ b/src/net/looptimerservice.cpp
@@ -43,6 +43,12 @@
     return std::clamp(*earliest - now(), Duration::zero(), limit);
 }
 
+void LoopTimerService::close()
+{
+    m_isClosed = true;
+    m_queue.clear();
+}
+
 void LoopTimerService::requestRound()
 {
     if (!h2o_timeout_is_linked(&m_entry))
@@ -59,7 +65,7 @@
 void LoopTimerService::runDue()
 {
     const TimePoint start = now();
-    while (m_queue.earliest() && *m_queue.earliest() <= start) {
+    while (!m_isClosed && m_queue.earliest() && *m_queue.earliest() <= start) {
         const Callback callback = m_queue.take();
         callback();
     }
--- a/src/net/looptimerservice.h
+++ b/src/net/looptimerservice.h
@@ -22,6 +22,8 @@
     /// Returns how long the loop may wait before the next subscription falls due, at most
     /// \a limit.
     Duration waitBudget(Duration limit) const;
+    /// Drops all subscriptions; later ones never run.
+    void close();
     /// Has the loop's next round run what is due, without waiting.
     void requestRound();
 
@@ -38,6 +40,7 @@
     h2o_timeout_t m_timeout{};
     Entry m_entry{};
     TimerQueue m_queue;
+    bool m_isClosed = false;
 };
 
 } // namespace currantwalk
