Drain waits for requests that wait for a share of a limit

Change: such requests count as in progress. No test brings this cut about yet. Conclusion: the count is whole; a test for it is open.

--- a/src/daemon/callersapi.cpp
+++ b/src/daemon/callersapi.cpp
@@ -151,10 +151,13 @@
     if (m_services.timers.now() + verdict.retryAfter > query.waitUntil)
         return refuse(*query.exchange, makeError(ErrorCode::RateLimited, "a limit is reached"),
                       query.requestId, verdict.retryAfter);
+    ++m_waitingForLimits;
     m_services.timers.subscribeAfter(verdict.retryAfter,
                                      [this, query, proceed, isAlive = m_isAlive] {
-                                         if (*isAlive)
-                                             passLimits(query, proceed);
+                                         if (!*isAlive)
+                                             return;
+                                         --m_waitingForLimits;
+                                         passLimits(query, proceed);
                                      });
 }
 
@@ -398,7 +401,7 @@
 
 std::size_t CallersApi::requestsInProgress() const
 {
-    return m_generations.size() + m_plainCalls.size();
+    return m_generations.size() + m_plainCalls.size() + m_waitingForLimits;
 }
 
 } // namespace currantwalk
--- a/src/daemon/callersapi.h
+++ b/src/daemon/callersapi.h
@@ -91,6 +91,7 @@
     std::map<std::uint64_t, std::unique_ptr<GenerationSession>> m_generations;
     std::map<std::uint64_t, std::unique_ptr<PlainSession>> m_plainCalls;
     std::uint64_t m_lastSession = 0;
+    std::size_t m_waitingForLimits = 0; ///< Requests that wait for a share.
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
