Simulated callers forget their place when their tokens are void

Ruled out: the calls themselves; the node resumed exactly what it was asked for. A restart voids the place among the tokens as well, so the caller's model submits anew.

--- a/src/calls/tests/simcaller.cpp
+++ b/src/calls/tests/simcaller.cpp
@@ -194,6 +194,8 @@
         violate("a restart that was not asked for");
     m_generation.reset();
     m_received = 0;
+    // The tokens are void, and so is the place among them.
+    m_resumeToken.clear();
     ++m_world.counts["restarts"];
 }
 
