Poison: a send lost at an engine that was down refuses nothing

Cause: two sends that were lost at engines which were down already counted as two deaths, and an innocent request was refused with 422 (the known red test of the node). A lost send can't tell a crash from an engine that was gone before. Change: a death counts for certain only if the target had begun the request, or had answered right before the send; a repeated send and each send of a suspect asks for that answer first. A refusal takes two deaths, one of them certain. A run is noted for each open, with the incarnation that answered. Ruled out: waiting for probes to confirm deaths (tried before: engines that restart at once died more than four times). Changed test: opensTheSameAttemptAgainAtTheSameTarget now answers the question before the second send, and checks that nothing was sent before it.

--- a/src/calls/generationcall.h
+++ b/src/calls/generationcall.h
@@ -92,6 +92,10 @@
     std::function<void(std::uint64_t exchange, const std::vector<TargetId> &excluded)> place;
     /// Sends the prompt to the target as \a attempt.
     std::function<void(std::uint64_t exchange, const GenerationAttempt &attempt)> open;
+    /// Whether the request may be what ended a target.
+    std::function<bool()> isSuspect;
+    /// Asks the target for a sign of life; onAlive() answers, or onExchangeFailed().
+    std::function<void(std::uint64_t exchange, const TargetId &target)> proveAlive;
     /// Reads a running generation from \a from on.
     std::function<void(std::uint64_t exchange, const GenerationId &generation, std::uint32_t from)>
             resume;
@@ -141,6 +145,8 @@
     virtual void onPlaced(std::uint64_t exchange, const TargetId &target) = 0;
     virtual void onPlacementFailed(std::uint64_t exchange, const absl::Status &status,
                                    Duration retryAfter) = 0;
+    /// The target answered proveAlive().
+    virtual void onAlive(std::uint64_t exchange) = 0;
     /// The engine named the generation that it runs.
     virtual void onOpened(std::uint64_t exchange, const GenerationId &generation) = 0;
     virtual void onToken(std::uint64_t exchange, std::uint32_t position, std::string text) = 0;
--- a/src/calls/generationmachine.cpp
+++ b/src/calls/generationmachine.cpp
@@ -131,7 +131,7 @@
     if (m_exchange == 0)
         return;
     // Nobody will tell whether this send reached the target.
-    if (m_state == GenerationState::Sent)
+    if (m_state == GenerationState::Sent && !m_isProving)
         m_fate = AttemptFate::MayRun;
     m_hooks.abandon(std::exchange(m_exchange, 0));
 }
@@ -203,6 +203,24 @@
     if (m_timers.now() >= m_request.deadline)
         return onDeadline();
     enter(GenerationState::Sent);
+    m_isProving = m_sendsLost > 0 || m_hooks.isSuspect();
+    if (!m_isProving)
+        return send();
+    m_hooks.proveAlive(beginExchange(), m_attempt.target);
+    watchForStall();
+}
+
+void GenerationMachine::onAlive(std::uint64_t exchange)
+{
+    if (!isCurrent(exchange))
+        return;
+    m_exchange = 0;
+    m_isProving = false;
+    send();
+}
+
+void GenerationMachine::send()
+{
     m_hooks.open(beginExchange(), m_attempt);
     watchForStall();
 }
--- a/src/calls/generationmachine.h
+++ b/src/calls/generationmachine.h
@@ -28,6 +28,7 @@
                            Duration retryAfter) override;
     void onOpened(std::uint64_t exchange, const GenerationId &generation) override;
     void onToken(std::uint64_t exchange, std::uint32_t position, std::string text) override;
+    void onAlive(std::uint64_t exchange) override;
     void onFinished(std::uint64_t exchange, std::uint32_t tokens, FinishReason reason) override;
     void onExchangeFailed(std::uint64_t exchange, const absl::Status &status,
                           bool wasSent) override;
@@ -59,6 +60,7 @@
 
     void place();
     void open();
+    void send();
     void resume();
     void reconnect();
     void watchForStall();
@@ -113,6 +115,7 @@
     std::uint32_t m_tries = 0;           // Since the last progress.
     std::uint32_t m_connectFailures = 0; // In a row.
     std::uint32_t m_sendsLost = 0;       // Of this attempt, before the engine named the generation.
+    bool m_isProving = false;            // The exchange asks for a sign of life and sends nothing.
     std::uint32_t m_stalls = 0;
     std::optional<TimePoint> m_troubleSince;
     TimerId m_timer = NoTimer; // Of the state: backoff, stall or resume window.
--- a/src/calls/generationrecovery.cpp
+++ b/src/calls/generationrecovery.cpp
@@ -1,5 +1,7 @@
 #include "calls/generationmachine.h"
 
+#include <utility>
+
 #include "calls/retrybudget.h"
 
 namespace currantwalk {
@@ -51,7 +53,7 @@
         return;
     m_exchange = 0;
     if (!m_generation)
-        return onOpenFailed(status, wasSent);
+        return onOpenFailed(status, wasSent && !std::exchange(m_isProving, false));
     const ErrorCode code = errorCode(status);
     if (isGenerationForgotten(code)) {
         m_fate = AttemptFate::Ended;
--- a/src/calls/poisontracker.cpp
+++ b/src/calls/poisontracker.cpp
@@ -21,8 +21,7 @@
 {
     TargetId target;
     Incarnation incarnation = 0;
-
-    friend bool operator==(const Death &, const Death &) = default;
+    bool isBegun = false;
 };
 
 struct Record
@@ -35,6 +34,7 @@
 {
     std::uint64_t fingerprint = 0;
     Incarnation incarnation = 0;
+    bool isBegun = false;
     TimePoint startedAt{};
 };
 
@@ -47,6 +47,8 @@
     }
 
     Suspicion suspicion(std::uint64_t fingerprint) const override;
+    void onSent(std::uint64_t fingerprint, const TargetId &target,
+                Incarnation incarnation) override;
     void onRunning(std::uint64_t fingerprint, const TargetId &target,
                    Incarnation incarnation) override;
     void onReleased(std::uint64_t fingerprint, const TargetId &target, bool isComplete) override;
@@ -61,6 +63,7 @@
     bool isExpired(const Record &record) const;
     bool addDeath(std::uint64_t fingerprint, const Death &death);
     void makeRoom();
+    Run &runAt(std::uint64_t fingerprint, const TargetId &target);
     std::vector<Run> takeRuns(const TargetId &target, Incarnation incarnation);
 
     TimerService &m_timers;
@@ -71,9 +74,14 @@
 
 } // namespace
 
+// Sends that are lost at targets which were down already look the same as crashes. So one of the
+// deaths has to follow a sign of life; a suspect is sent nowhere without one.
 static Suspicion suspicionOf(const Record &record)
 {
-    return record.deaths.size() >= DeathsToRefuse ? Suspicion::Refused : Suspicion::Suspect;
+    const bool isProven = std::any_of(record.deaths.begin(), record.deaths.end(),
+                                      [](const Death &death) { return death.isBegun; });
+    return isProven && record.deaths.size() >= DeathsToRefuse ? Suspicion::Refused
+                                                              : Suspicion::Suspect;
 }
 
 std::unique_ptr<PoisonTracker>
@@ -100,7 +108,27 @@
 void PoisonTable::onRunning(std::uint64_t fingerprint, const TargetId &target,
                             Incarnation incarnation)
 {
-    m_runs[target].push_back(Run{fingerprint, incarnation, m_timers.now()});
+    Run &run = runAt(fingerprint, target);
+    run.incarnation = incarnation;
+    run.isBegun = true;
+}
+
+Run &PoisonTable::runAt(std::uint64_t fingerprint, const TargetId &target)
+{
+    std::vector<Run> &runs = m_runs[target];
+    const auto known = std::find_if(runs.begin(), runs.end(), [fingerprint](const Run &run) {
+        return run.fingerprint == fingerprint;
+    });
+    if (known != runs.end())
+        return *known;
+    return runs.emplace_back(Run{fingerprint, 0, false, m_timers.now()});
+}
+
+void PoisonTable::onSent(std::uint64_t fingerprint, const TargetId &target, Incarnation incarnation)
+{
+    Run &run = runAt(fingerprint, target);
+    run.incarnation = incarnation;
+    run.isBegun = false;
 }
 
 // A request that completes crashes nothing, however many targets died beside it. A refusal stays:
@@ -149,10 +177,15 @@
 {
     const auto runs = m_runs.find(target);
     const std::size_t running = runs == m_runs.end() ? 0 : runs->second.size();
-    if (!addDeath(fingerprint, Death{target, incarnation}))
+    const bool isBegun =
+            runs != m_runs.end()
+            && std::any_of(runs->second.begin(), runs->second.end(), [fingerprint](const Run &run) {
+                   return run.fingerprint == fingerprint && run.isBegun;
+               });
+    if (!addDeath(fingerprint, Death{target, incarnation, isBegun}))
         return;
     const auto neighbours = static_cast<std::uint32_t>(running > 0 ? running - 1 : 0);
-    m_announce(PoisonReport{fingerprint, target, incarnation, neighbours});
+    m_announce(PoisonReport{fingerprint, target, incarnation, neighbours, isBegun});
 }
 
 void PoisonTable::onTargetDied(const TargetId &target, Incarnation incarnation)
@@ -160,20 +193,20 @@
     const std::vector<Run> runs = takeRuns(target, incarnation);
     std::size_t reports = 0;
     for (const Run &run : runs) {
-        const bool isNew = addDeath(run.fingerprint, Death{target, run.incarnation});
+        const bool isNew = addDeath(run.fingerprint, Death{target, run.incarnation, run.isBegun});
         if (!isNew || ++reports > MaxReportsPerDeath)
             continue;
         const auto neighbours = static_cast<std::uint32_t>(runs.size() - 1);
-        m_announce(PoisonReport{run.fingerprint, target, run.incarnation, neighbours});
+        m_announce(PoisonReport{run.fingerprint, target, run.incarnation, neighbours, run.isBegun});
     }
 }
 
 void PoisonTable::onReport(const PoisonReport &report)
 {
-    addDeath(report.fingerprint, Death{report.target, report.incarnation});
+    addDeath(report.fingerprint, Death{report.target, report.incarnation, report.isBegun});
 }
 
-// One death counts once, through however many nodes it is heard of.
+// One death counts once, through however many nodes it is heard of; it may become certain later.
 bool PoisonTable::addDeath(std::uint64_t fingerprint, const Death &death)
 {
     const auto it = m_records.find(fingerprint);
@@ -181,9 +214,16 @@
         m_records.erase(it);
     makeRoom();
     Record &record = m_records[fingerprint];
-    if (std::find(record.deaths.begin(), record.deaths.end(), death) != record.deaths.end())
+    const auto known =
+            std::find_if(record.deaths.begin(), record.deaths.end(), [&death](const Death &each) {
+                return each.target == death.target && each.incarnation == death.incarnation;
+            });
+    if (known == record.deaths.end())
+        record.deaths.push_back(death);
+    else if (death.isBegun && !known->isBegun)
+        known->isBegun = true;
+    else
         return false;
-    record.deaths.push_back(death);
     record.lastDeathAt = m_timers.now();
     return true;
 }
--- a/src/calls/poisontracker.h
+++ b/src/calls/poisontracker.h
@@ -14,8 +14,8 @@
 
 enum class Suspicion {
     None,
-    Suspect, ///< Was running where a target died; runs alone until it completes.
-    Refused, ///< Two targets died while running it.
+    Suspect, ///< Was sent to a target that died; runs alone until it completes.
+    Refused, ///< Two targets died, and one of them surely while running it.
 };
 
 /// A death of a target while it ran a request, as nodes tell it to one another.
@@ -25,6 +25,8 @@
     TargetId target;
     Incarnation incarnation = 0;  ///< Of the target that died; one death counts once.
     std::uint32_t neighbours = 0; ///< Other requests that this node knows were running there.
+    /// The target had begun the request, so that it did not die before.
+    bool isBegun = true;
 };
 
 /// Finds requests that crash the targets that run them.
@@ -45,6 +47,10 @@
     virtual ~PoisonTracker() = default;
 
     virtual Suspicion suspicion(std::uint64_t fingerprint) const = 0;
+    /// The request is being sent; whether the target lives is not known.
+    virtual void onSent(std::uint64_t fingerprint, const TargetId &target,
+                        Incarnation incarnation) = 0;
+    /// The target has begun the request, or has answered right before it was sent.
     virtual void onRunning(std::uint64_t fingerprint, const TargetId &target,
                            Incarnation incarnation) = 0;
     /// The request left the target alive: completed, cancelled or moved. Completion clears it.
--- a/src/calls/tests/generationcalltest.cpp
+++ b/src/calls/tests/generationcalltest.cpp
@@ -28,6 +28,8 @@
     int asked = 0;
     int retries = 5;
     std::uint32_t resumedFrom = 0;
+    int proofs = 0;
+    bool isSuspect = false;
     std::vector<TargetId> excluded;
     std::string attemptId;
     std::string text;
@@ -46,6 +48,11 @@
             attemptId = attempt.id;
             ++opened;
         };
+        hooks.isSuspect = [this] { return isSuspect; };
+        hooks.proveAlive = [this](std::uint64_t number, const TargetId &) {
+            exchange = number;
+            ++proofs;
+        };
         hooks.resume = [this](std::uint64_t number, const GenerationId &, std::uint32_t from) {
             exchange = number;
             resumedFrom = from;
@@ -98,6 +105,39 @@
     }
 };
 
+TEST(GenerationCall, repeatsALostSendOnlyToATargetThatAnswers)
+{
+    make();
+    call->onPlaced(exchange, TargetId("e1"));
+    failExchange(ErrorCode::ConnectionLost, true);
+    timers.advance(100ms);
+    CHECK_EQUAL(1, proofs);
+    CHECK_EQUAL(1, opened);
+    failExchange(ErrorCode::ConnectFailed, false);
+    timers.advance(200ms);
+    CHECK_EQUAL(2, proofs);
+    CHECK_EQUAL(1, opened);
+    call->onAlive(exchange);
+    CHECK_EQUAL(2, opened);
+    call->onOpened(exchange, generation);
+    CHECK(call->state() == GenerationState::Streaming);
+}
+
+TEST(GenerationCall, sendsASuspectOnlyToATargetThatAnswers)
+{
+    isSuspect = true;
+    make();
+    call->onPlaced(exchange, TargetId("e1"));
+    CHECK_EQUAL(1, proofs);
+    CHECK_EQUAL(0, opened);
+    failExchange(ErrorCode::ConnectFailed, false);
+    timers.advance(100ms);
+    CHECK_EQUAL(2, placed);
+    call->onPlaced(exchange, TargetId("e2"));
+    call->onAlive(exchange);
+    CHECK_EQUAL(1, opened);
+}
+
 TEST(GenerationCall, resumesFromTheNextTokenAfterAGapARepeatAndAShortEnd)
 {
     make();
@@ -126,6 +166,8 @@
     const std::string first = attemptId;
     failExchange(ErrorCode::ConnectionLost, true);
     timers.advance(100ms);
+    CHECK_EQUAL(1, opened);
+    call->onAlive(exchange);
     CHECK_EQUAL(2, opened);
     STRCMP_EQUAL(first.c_str(), attemptId.c_str());
     CHECK_EQUAL(1, placed);
--- a/src/calls/tests/poisontest.cpp
+++ b/src/calls/tests/poisontest.cpp
@@ -67,6 +67,34 @@
     CHECK_EQUAL(2U, reports.size());
 }
 
+TEST(PoisonTracker, sendsLostAtTargetsThatWereDownAlreadyRefuseNothing)
+{
+    tracker->onSent(Innocent, first, 1);
+    tracker->onLost(Innocent, first, 1);
+    tracker->onReleased(Innocent, first, false);
+    tracker->onSent(Innocent, second, 1);
+    tracker->onLost(Innocent, second, 1);
+    CHECK(tracker->suspicion(Innocent) == Suspicion::Suspect);
+    CHECK_EQUAL(2U, reports.size());
+    CHECK(!reports[1].isBegun);
+
+    tracker->onReport({Poison, first, 1, 0, false});
+    tracker->onSent(Poison, second, 1);
+    tracker->onRunning(Poison, second, 2);
+    tracker->onLost(Poison, second, 2);
+    CHECK(tracker->suspicion(Poison) == Suspicion::Refused);
+}
+
+TEST(PoisonTracker, aDeathBecomesCertainLater)
+{
+    tracker->onReport({Poison, first, 1, 0, false});
+    tracker->onReport({Poison, second, 1, 0, false});
+    CHECK(tracker->suspicion(Poison) == Suspicion::Suspect);
+    tracker->onReport({Poison, second, 1, 0, true});
+    CHECK(tracker->suspicion(Poison) == Suspicion::Refused);
+    CHECK_EQUAL(2U, tracker->entries().front().deaths.size());
+}
+
 TEST(PoisonTracker, whatLeftTheTargetInTimeIsNotSuspected)
 {
     tracker->onRunning(Poison, first, 1);
--- a/src/calls/tests/simdaemon.cpp
+++ b/src/calls/tests/simdaemon.cpp
@@ -176,7 +176,6 @@
     }
     chosen.isIsolated = isSuspect;
     m_generating.at(id).placedAt = target->id();
-    m_poison->onRunning(fingerprint, target->id(), target->incarnation);
     call->onPlaced(exchange, target->id());
 }
 
@@ -203,6 +202,13 @@
     hooks.open = [this, id](std::uint64_t exchange, const GenerationAttempt &attempt) {
         openExchange(id, exchange, attempt);
     };
+    hooks.isSuspect = [this, id] {
+        const std::uint64_t fingerprint = m_generating.at(id).call->request().fingerprint;
+        return m_poison->suspicion(fingerprint) == Suspicion::Suspect;
+    };
+    hooks.proveAlive = [this, id](std::uint64_t exchange, const TargetId &target) {
+        proveAlive(id, exchange, target);
+    };
     hooks.resume = [this, id](std::uint64_t exchange, const GenerationId &generation,
                               std::uint32_t from) {
         resumeExchange(id, exchange, generation, from);
@@ -249,6 +255,7 @@
 {
     auto answers = std::make_shared<EngineAnswers>();
     answers->opened = [this, id, exchange](const GenerationId &generation) {
+        noteRunning(id, generation.target, generation.incarnation);
         m_generating.at(id).call->onOpened(exchange, generation);
         m_world.onStep(SimStep::Opened);
     };
@@ -288,6 +295,8 @@
 {
     const Generating &row = m_generating.at(id);
     SimEngine &target = engine(attempt.target);
+    if (!std::exchange(m_generating.at(id).isProvenAlive, false))
+        m_poison->onSent(row.call->request().fingerprint, target.id(), target.incarnation);
     const ConnectionPtr opened = beginExchange(id, exchange, target);
     m_world.network->connect(
             opened, [&target] { return target.isAlive; },
@@ -298,6 +307,33 @@
     m_world.onStep(SimStep::Sent);
 }
 
+void SimDaemon::noteRunning(CallId id, const TargetId &target, Incarnation incarnation)
+{
+    const Generating &row = m_generating.at(id);
+    if (row.placedAt == target)
+        m_poison->onRunning(row.call->request().fingerprint, target, incarnation);
+}
+
+void SimDaemon::proveAlive(CallId id, std::uint64_t exchange, const TargetId &target)
+{
+    SimEngine &asked = engine(target);
+    const ConnectionPtr opened = connection(asked.place);
+    opened->onBroken = [this, id, exchange](const absl::Status &status, bool) {
+        m_generating.at(id).call->onExchangeFailed(exchange, status, false);
+    };
+    m_generating.at(id).connections[exchange] = opened;
+    m_world.network->connect(
+            opened, [&asked] { return asked.isAlive; },
+            [this, id, exchange, &asked, opened] {
+                const Incarnation incarnation = asked.incarnation;
+                m_world.network->answer(opened, [this, id, exchange, &asked, incarnation] {
+                    noteRunning(id, asked.id(), incarnation);
+                    m_generating.at(id).isProvenAlive = true;
+                    m_generating.at(id).call->onAlive(exchange);
+                });
+            });
+}
+
 void SimDaemon::resumeExchange(CallId id, std::uint64_t exchange, const GenerationId &generation,
                                std::uint32_t from)
 {
--- a/src/calls/tests/simdaemon.h
+++ b/src/calls/tests/simdaemon.h
@@ -106,6 +106,7 @@
         CallerEvents caller;
         std::uint32_t tokens = 0;
         TargetId placedAt;
+        bool isProvenAlive = false; ///< The target answered right before the send that follows.
         std::map<std::uint64_t, ConnectionPtr> connections;
     };
 
@@ -133,6 +134,8 @@
     GenerationHooks generationHooks(CallId id);
     EngineAnswersPtr engineAnswers(CallId id, std::uint64_t exchange);
     void openExchange(CallId id, std::uint64_t exchange, const GenerationAttempt &attempt);
+    void proveAlive(CallId id, std::uint64_t exchange, const TargetId &target);
+    void noteRunning(CallId id, const TargetId &target, Incarnation incarnation);
     void resumeExchange(CallId id, std::uint64_t exchange, const GenerationId &generation,
                         std::uint32_t from);
     void deliver(CallId id, const GenerationId &generation, std::uint32_t position,
--- a/src/daemon/generationsession.cpp
+++ b/src/daemon/generationsession.cpp
@@ -11,6 +11,9 @@
 /// Bytes that wait for a caller's connection before the call is told to hold back.
 static constexpr std::size_t MaxPendingBytes = std::size_t{64} * 1024;
 
+/// Of the question whether an engine lives: as long as a connection may take to open.
+static constexpr Duration ProofTimeout = std::chrono::seconds(1);
+
 GenerationSession::GenerationSession(const RequestServices &services,
                                      std::shared_ptr<HttpExchange> exchange, GenerationOrder order,
                                      std::function<void()> onSettled)
@@ -39,6 +42,12 @@
     hooks.open = [this](std::uint64_t exchange, const GenerationAttempt &attempt) {
         open(exchange, attempt);
     };
+    hooks.isSuspect = [this] {
+        return m_services.poison.suspicion(m_order.request.fingerprint) == Suspicion::Suspect;
+    };
+    hooks.proveAlive = [this](std::uint64_t exchange, const TargetId &target) {
+        proveAlive(exchange, target);
+    };
     hooks.resume = [this](std::uint64_t exchange, const GenerationId &generation,
                           std::uint32_t from) { resume(exchange, generation, from); };
     hooks.abandon = [this](std::uint64_t exchange) { abandon(exchange); };
@@ -165,13 +174,38 @@
     // A repeated open of one attempt is the same run.
     if (!m_runningAt) {
         m_runningAt = engine->incarnation;
-        m_services.poison.onRunning(m_order.request.fingerprint, engine->id, *m_runningAt);
+        m_services.poison.onSent(m_order.request.fingerprint, engine->id, *m_runningAt);
     }
     m_engineExchangeNumber = exchange;
     m_engineExchange = m_services.link.open(*engine, attempt, m_order.request,
                                             exchangeHooks(exchange, engine->id));
 }
 
+void GenerationSession::proveAlive(std::uint64_t exchange, const TargetId &id)
+{
+    const Target *engine = m_services.targets.find(id);
+    if (!engine)
+        return failLater(exchange, ErrorCode::ConnectFailed, "the engine is no longer known");
+    m_services.link.probe(
+            *engine, ProofTimeout,
+            [this, isAlive = m_isAlive, exchange, id](const absl::StatusOr<TargetReport> &report) {
+                if (!*isAlive)
+                    return;
+                if (!report.ok())
+                    return m_call->onExchangeFailed(exchange, report.status(), false);
+                noteRunning(id, report->incarnation);
+                m_call->onAlive(exchange);
+            });
+}
+
+void GenerationSession::noteRunning(const TargetId &target, Incarnation incarnation)
+{
+    if (m_placedAt != target)
+        return;
+    m_runningAt = incarnation;
+    m_services.poison.onRunning(m_order.request.fingerprint, target, incarnation);
+}
+
 void GenerationSession::resume(std::uint64_t exchange, const GenerationId &generation,
                                std::uint32_t from)
 {
@@ -189,6 +223,7 @@
     EngineExchangeHooks hooks;
     hooks.onOpened = [this, exchange, target](Incarnation incarnation, std::uint64_t number) {
         m_generation = GenerationId{target, incarnation, number};
+        noteRunning(target, incarnation);
         m_call->onOpened(exchange, *m_generation);
     };
     hooks.onToken = [this, exchange](std::uint32_t position, std::string text) {
--- a/src/daemon/generationsession.h
+++ b/src/daemon/generationsession.h
@@ -55,6 +55,8 @@
     void place(std::uint64_t exchange, const std::vector<TargetId> &excluded);
     void onPlacement(std::uint64_t exchange, const Placement &placement);
     void open(std::uint64_t exchange, const GenerationAttempt &attempt);
+    void proveAlive(std::uint64_t exchange, const TargetId &id);
+    void noteRunning(const TargetId &target, Incarnation incarnation);
     void resume(std::uint64_t exchange, const GenerationId &generation, std::uint32_t from);
     EngineExchangeHooks exchangeHooks(std::uint64_t exchange, const TargetId &target);
     void failLater(std::uint64_t exchange, ErrorCode code, const char *detail);
--- a/src/daemon/peerlink.cpp
+++ b/src/daemon/peerlink.cpp
@@ -83,6 +83,7 @@
     json["target"] = report.target.text();
     json["incarnation"] = Json::UInt64(report.incarnation);
     json["neighbours"] = report.neighbours;
+    json["begun"] = report.isBegun;
     return json;
 }
 
@@ -100,7 +101,11 @@
     const absl::StatusOr<std::uint64_t> neighbours = unsignedMember(json, "neighbours");
     if (!neighbours.ok())
         return neighbours.status();
+    const absl::StatusOr<bool> isBegun = boolMember(json, "begun");
+    if (!isBegun.ok())
+        return isBegun.status();
     PoisonReport report;
+    report.isBegun = *isBegun;
     report.fingerprint = *fingerprint;
     report.target = TargetId(*target);
     report.incarnation = *incarnation;
