A stream is moved also while its key's proof has grown old

The stream is the run that its key was proven for; the bound on revoked keys counts requests by when their caller sent them. Change: a move needs no fresh proof; a key that the catalogue in force has dropped ends moves. Ruled out: no destinations (some were known), copies that came too late (none was asked for).

--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -137,16 +137,23 @@
     finishIfSettled();
 }
 
-bool RelaySession::mayUseKey() const
+bool RelaySession::mayUseKey(Duration maxAge) const
 {
     return !m_admitted.organisation
            || isKeyInForce(m_services.catalog, m_admitted.organisation->name, *m_caller.key,
-                           m_services.settings.maxKeyAge);
+                           maxAge);
+}
+
+// A stream that goes on elsewhere is the run that its key was proven for; the proof's age does not
+// matter any more, a key that is known to be revoked does.
+bool RelaySession::mayGoOn() const
+{
+    return mayUseKey(Duration::max());
 }
 
 std::optional<TargetId> RelaySession::place(const std::vector<TargetId> &excluded)
 {
-    if (!mayUseKey())
+    if (!mayUseKey(m_services.settings.maxKeyAge))
         return std::nullopt;
     const ServiceTarget *const target =
             m_services.choose(m_service, excluded, m_services.settings.zone, 0);
@@ -160,7 +167,7 @@
 {
     const CatalogService *const service = m_admitted.catalog->findService(m_service);
     const ServiceTarget *const from = m_services.targets.find(source);
-    if (!mayUseKey() || !from || !service || !service->engine || !service->engine->hasMoves)
+    if (!mayGoOn() || !from || !service || !service->engine || !service->engine->hasMoves)
         return std::nullopt;
     const ServiceTarget *const target =
             m_services.choose(m_service, excluded, from->entry.zone, MoveSpread);
@@ -278,15 +285,17 @@
         m_services.loadsChanged();
     entry.call = m_services.client.send(options,
                                         m_services.bindings.writeSend(m_exchange->request(), send),
-                                        callHooks(exchange, id));
+                                        callHooks(exchange, id, resume.has_value()));
 }
 
-HttpCallHooks RelaySession::callHooks(std::uint64_t exchange, const TargetId &target)
+HttpCallHooks RelaySession::callHooks(std::uint64_t exchange, const TargetId &target,
+                                      bool isResumed)
 {
     HttpCallHooks hooks;
-    hooks.mayWrite = [this, exchange, target] {
+    hooks.mayWrite = [this, exchange, target, isResumed] {
         const ServiceTarget *const current = m_services.targets.find(target);
-        return mayUseKey() && current && current->phase != TargetPhase::Leaving
+        const bool isAllowed = isResumed ? mayGoOn() : mayUseKey(m_services.settings.maxKeyAge);
+        return isAllowed && current && current->phase != TargetPhase::Leaving
                && m_call->onConnected(exchange);
     };
     hooks.onHead = [this, exchange](const HttpResponseHead &head) {
--- a/src/daemon/relaysession.h
+++ b/src/daemon/relaysession.h
@@ -67,7 +67,8 @@
     RelayRequest relayRequest() const;
     RelayHooks relayHooks();
     RelayLoad load() const;
-    bool mayUseKey() const;
+    bool mayUseKey(Duration maxAge) const;
+    bool mayGoOn() const;
     std::optional<TargetId> place(const std::vector<TargetId> &excluded);
     std::optional<TargetId> placeMove(const TargetId &source,
                                       const std::vector<TargetId> &excluded);
@@ -77,7 +78,7 @@
     void dropCopy(const TargetId &source, const StreamCopy &copy);
     void send(std::uint64_t exchange, const TargetId &id,
               const std::optional<StreamResume> &resume);
-    HttpCallHooks callHooks(std::uint64_t exchange, const TargetId &target);
+    HttpCallHooks callHooks(std::uint64_t exchange, const TargetId &target, bool isResumed);
     void abandon(std::uint64_t exchange);
     void release(const TargetExchange &exchange);
     void onFirstPart(std::uint64_t exchange);
--- a/src/daemon/tests/entrynodetest.cpp
+++ b/src/daemon/tests/entrynodetest.cpp
@@ -82,6 +82,14 @@
         route.goal = 50ms;
         route.maxTargets = 2;
         content.routes.push_back(route);
+        route.pathPrefix = std::string("/s/");
+        route.rule = RepeatRule::Stream;
+        route.timeout = 20s;
+        content.routes.push_back(route);
+        CatalogService service;
+        service.name = std::string("s");
+        service.engine = EngineTraits{8, 10000, true, true};
+        content.services = {service};
         if (content.version % 2 == 1)
             content.organisations = {{"o", std::nullopt, {"key"}}};
         else
@@ -104,7 +112,8 @@
         bindings.writeSend = [](const HttpRequest &request, const TargetSend &send) {
             return HttpRequest{request.method,
                                request.path,
-                               {{"organisation", send.organisation}},
+                               {{"organisation", send.organisation},
+                                {"resume", send.resume ? send.resume->copy.handle : ""}},
                                request.body};
         };
         bindings.readAnswerHead = [](const HttpResponseHead &head, const RequestId &) {
@@ -117,6 +126,15 @@
         bindings.writeRefusal = [](const EntryRefusal &refusal) {
             return HttpResponseHead{refusal.status, {{"content-length", "0"}}};
         };
+        bindings.writeCopy = [](const RequestId &, const Endpoint &) {
+            return HttpRequest{"POST", "/copy", {}, {}};
+        };
+        bindings.readCopy = [](const HttpResponse &response) -> absl::StatusOr<std::string> {
+            return response.body;
+        };
+        bindings.writeDropCopy = [](const std::string &) {
+            return HttpRequest{"DELETE", "/copy", {}, {}};
+        };
         bindings.writeReportCall = [] { return HttpRequest{"GET", "/report", {}, {}}; };
         bindings.readIsLeaving = [](const HttpResponse &) { return false; };
         bindings.readinessPath = "/ready";
@@ -128,8 +146,9 @@
             TargetEntry entry;
             entry.service = std::string("s");
             entry.zone = ZoneName("z");
-            entry.isLeaving = text == "leaving";
-            entry.endpoint = *Endpoint::parse(text == "leaving" ? "127.0.0.1:1" : text);
+            static const std::string Leaving = "leaving ";
+            entry.isLeaving = text.rfind(Leaving, 0) == 0;
+            entry.endpoint = *Endpoint::parse(entry.isLeaving ? text.substr(Leaving.size()) : text);
             return entry;
         };
         return bindings;
@@ -232,6 +251,45 @@
     CHECK(node->isReady());
 }
 
+// The store is away with the catalogue, and the target of a stream leaves.
+TEST(EntryNode, aStreamIsMovedThoughItsKeysProofHasGrownOld)
+{
+    startServing();
+    send("/s/x");
+    const auto source = arrival(0);
+    source->start({200, {}});
+    source->write("id: 1\ndata: x\n\n");
+    append(targetsTopic, "t2", targetBench.server.toString());
+    CHECK(targetBench.runUntil([this] { return !node->isReady(); }));
+    append(targetsTopic, "t1", "leaving " + targetBench.server.toString());
+    const auto copy = arrival(1);
+    STRCMP_EQUAL("/copy", copy->request().path.c_str());
+    respond(*copy, 200, "text/plain", "h1");
+    const auto resumed = arrival(2);
+    STRCMP_EQUAL("h1", std::string(*findHeader(resumed->request().headers, "resume")).c_str());
+    respond(*resumed, 200, "text/plain", "id: 2\ndata: y\n\n");
+    CHECK(targetBench.runUntil([this] { return record.status.has_value(); }));
+    CHECK(record.status->ok());
+    STRCMP_EQUAL("id: 1\ndata: x\n\nid: 2\ndata: y\n\n", record.body.c_str());
+}
+
+TEST(EntryNode, aStreamIsNotMovedOnceItsKeyIsRevoked)
+{
+    startServing();
+    send("/s/x");
+    const auto source = arrival(0);
+    source->start({200, {}});
+    source->write("id: 1\ndata: x\n\n");
+    append(targetsTopic, "t2", targetBench.server.toString());
+    append(catalogTopic, "config", "2");
+    append(targetsTopic, "t1", "leaving " + targetBench.server.toString());
+    source->write("id: 2\ndata: y\n\n");
+    source->finish();
+    CHECK(targetBench.runUntil([this] { return record.status.has_value(); }));
+    CHECK(record.status->ok());
+    LONGS_EQUAL(1, static_cast<long>(targetBench.exchanges.size()));
+}
+
 TEST(EntryNode, theRoutesTimeLimitGivesTheFinalAnswer)
 {
     startServing();
