Long generations keep a copy of their memory at another target

Ruled out: moving them at a notice, which does not come. Change: a generation expected to give 200 tokens or more names a second target that is sent its memory while it runs (the node's own zone first, only into memory that is free by expectation); a stream whose connection breaks goes on there. A stream that goes on behind a gap in the numbers of its events is broken off instead of passed on. Load that it answers: targets that crash, or links that are reset, with memory to spare.

--- a/src/calls/relaycall.cpp
+++ b/src/calls/relaycall.cpp
@@ -78,7 +78,8 @@
     ++m_sends;
     ++m_runsBegun;
     armPatience();
-    m_hooks.send(m_exchange, m_target, std::nullopt);
+    m_backup = m_request.rule == RepeatRule::Stream ? m_hooks.placeBackup(m_target) : std::nullopt;
+    m_hooks.send({m_exchange, m_target, std::nullopt, m_backup});
 }
 
 void RelayCall::armPatience()
@@ -201,6 +202,8 @@
             m_heldEvents.push_back(event);
         else
             passEvent(event);
+        if (isSettled())
+            return;
     }
     if (m_isTargetLeaving)
         beginMove();
@@ -212,12 +215,22 @@
 {
     if (event.number && m_lastEvent && *event.number <= *m_lastEvent)
         return;
+    const bool isFirstResumed = event.number && std::exchange(m_isResumed, false);
+    if (isFirstResumed && m_eventStep != 0 && *event.number > *m_lastEvent + m_eventStep) {
+        m_backup.reset();
+        onUnusable(
+                makeError(ErrorCode::TargetProtocol, "the stream does not go on where it ended"));
+        return;
+    }
     if (!m_isPassing) {
         m_isPassing = true;
         m_hooks.answerHead(m_exchange);
     }
-    if (event.number)
+    if (event.number) {
+        if (m_lastEvent)
+            m_eventStep = *event.number - *m_lastEvent;
         m_lastEvent = event.number;
+    }
     m_hooks.answerBody(event.bytes);
 }
 
@@ -257,6 +270,8 @@
     }
     const absl::Status failure =
             status.ok() ? makeError(ErrorCode::ConnectionLost, "the answer is not whole") : status;
+    if (m_resume == 0 && resumeFromBackup(failure))
+        return;
     if (m_move != 0 || m_resume != 0)
         onSourceLost(failure);
     else
@@ -282,7 +297,8 @@
     m_hooks.report(m_target, TargetService::Failed);
     m_excluded.push_back(m_target);
     if (m_isPassing) {
-        breakOff();
+        if (!resumeFromBackup(status))
+            breakOff();
         return;
     }
     if (mayRunAgain() && m_hooks.takeRetry()) {
@@ -360,7 +376,24 @@
         if (!m_isSourceLost)
             onResumeFailed(makeError(ErrorCode::DeadlineExceeded, "the stream did not go on"));
     });
-    m_hooks.send(m_resume, copy.holder, StreamResume{copy, *m_lastEvent});
+    m_nextBackup = m_hooks.placeBackup(copy.holder);
+    m_hooks.send({m_resume, copy.holder, StreamResume{copy, *m_lastEvent}, m_nextBackup});
+}
+
+// The target died or broke off without a notice. What is under way with it is of no use any more: a
+// copy that it is asked for can only be told by itself.
+bool RelayCall::resumeFromBackup(const absl::Status &reason)
+{
+    const std::optional<TargetId> holder = std::exchange(m_backup, std::nullopt);
+    if (!holder || !m_isPassing || !m_lastEvent)
+        return false;
+    const std::optional<StreamCopy> copy = m_hooks.findBackup(*holder);
+    if (!copy)
+        return false;
+    m_move = 0;
+    onSourceLost(reason);
+    resumeFrom(*copy);
+    return true;
 }
 
 void RelayCall::onResumeHead(const RelayAnswerHead &head)
@@ -374,6 +407,8 @@
         m_hooks.abandon(m_exchange);
     m_exchange = std::exchange(m_resume, 0);
     m_target = m_copy->holder;
+    m_backup = std::exchange(m_nextBackup, std::nullopt);
+    m_isResumed = true;
     m_copy.reset();
     m_heldEvents.clear();
     m_events.reset();
@@ -413,8 +448,9 @@
 
 void RelayCall::dropUnusedCopy()
 {
-    if (m_copy)
-        m_hooks.dropCopy(m_target, *std::exchange(m_copy, std::nullopt));
+    const std::optional<StreamCopy> copy = std::exchange(m_copy, std::nullopt);
+    if (copy && !copy->isBackup)
+        m_hooks.dropCopy(m_target, *copy);
 }
 
 void RelayCall::finish()
--- a/src/calls/relaycall.h
+++ b/src/calls/relaycall.h
@@ -48,6 +48,7 @@
     TargetId holder;  ///< Where the stream can go on.
     Endpoint namedBy; ///< The target that gave the copy its name.
     std::string handle;
+    bool isBackup = false; ///< Kept while the stream ran; it is freed with the run's end.
 };
 
 /// How a stream goes on elsewhere.
@@ -57,6 +58,16 @@
     std::uint64_t lastEvent = 0; ///< The last one that the caller has.
 };
 
+/// One send of a request to a target.
+struct RelaySend
+{
+    std::uint64_t exchange = 0;
+    TargetId target;
+    std::optional<StreamResume> resume; ///< The stream goes on from a copy that the target holds.
+    /// Is sent a copy of the stream's memory while it runs at the target.
+    std::optional<TargetId> backup;
+};
+
 /// Where a relayed request stands.
 enum class RelayState {
     New,
@@ -88,10 +99,12 @@
 {
     /// Chooses a target that is not in \a excluded.
     std::function<std::optional<TargetId>(const std::vector<TargetId> &excluded)> place;
-    /// Sends the request; with \a resume the stream goes on from a copy that \a target holds.
-    std::function<void(std::uint64_t exchange, const TargetId &target,
-                       const std::optional<StreamResume> &resume)>
-            send;
+    std::function<void(const RelaySend &send)> send;
+    /// Chooses where a copy of a stream's memory is kept while it runs at \a target; nothing where
+    /// none is worth its room.
+    std::function<std::optional<TargetId>(const TargetId &target)> placeBackup;
+    /// Names the copy that \a holder keeps; nothing where \a holder takes no work any more.
+    std::function<std::optional<StreamCopy>(const TargetId &holder)> findBackup;
     /// Closes the exchange's connection.
     std::function<void(std::uint64_t exchange)> abandon;
     /// Passes on the head of the answer of \a exchange.
@@ -179,6 +192,7 @@
     bool isMovable() const;
     void beginMove();
     void resumeFrom(const StreamCopy &copy);
+    bool resumeFromBackup(const absl::Status &reason);
     void onResumeHead(const RelayAnswerHead &head);
     void onResumeFailed(const absl::Status &status);
     void onSourceLost(const absl::Status &status);
@@ -209,11 +223,15 @@
     EventSplitter m_events;
     std::string m_held; ///< Body of an answer that is not yet passed on.
     std::optional<std::uint64_t> m_lastEvent;
-    bool m_isPassing = false; ///< The answer's head has been passed on.
+    std::uint64_t m_eventStep = 0; ///< Between the numbers of the last two events; 0: not known.
+    bool m_isResumed = false;      ///< No event has come since the stream goes on elsewhere.
+    bool m_isPassing = false;      ///< The answer's head has been passed on.
 
     // The move of a stream whose target is leaving.
     bool m_isTargetLeaving = false;
-    bool m_isSourceLost = false; ///< The stream has broken off; only the move can save it.
+    std::optional<TargetId> m_backup;     ///< Keeps a copy of the memory at the current target.
+    std::optional<TargetId> m_nextBackup; ///< That of the target at which the stream is to go on.
+    bool m_isSourceLost = false;          ///< The stream has broken off; only the move can save it.
     absl::Status m_sourceFailure;
     std::uint32_t m_moves = 0;
     std::uint64_t m_move = 0;   ///< The copy under way; 0 while there is none.
--- a/src/calls/tests/relaycalltest.cpp
+++ b/src/calls/tests/relaycalltest.cpp
@@ -20,17 +20,11 @@
 /// One relayed call between a caller and targets that a test plays by hand.
 TEST_GROUP(RelayCall)
 {
-    struct Sent
-    {
-        std::uint64_t exchange = 0;
-        TargetId target;
-        std::optional<StreamResume> resume;
-    };
 
     VirtualTimerService timers;
     std::unique_ptr<RelayCall> call;
     std::deque<TargetId> targets{TargetId("a"), TargetId("b"), TargetId("c")};
-    std::vector<Sent> sent;
+    std::vector<RelaySend> sent;
     std::set<std::uint64_t> abandoned;
     std::vector<std::pair<std::uint64_t, TargetId>> copies; ///< Move and destination.
     std::vector<StreamCopy> dropped;
@@ -42,14 +36,21 @@
     int aborts = 0;
     int retriesLeft = 10;
     bool isMoveOffered = true;
+    bool isBackupOffered = false;
+    bool isBackupHeld = true;
 
     RelayHooks hooks()
     {
         RelayHooks hooks;
         hooks.place = [this](const std::vector<TargetId> &excluded) { return pick(excluded); };
-        hooks.send = [this](std::uint64_t exchange, const TargetId &target,
-                            const std::optional<StreamResume> &resume) {
-            sent.push_back({exchange, target, resume});
+        hooks.send = [this](const RelaySend &send) { sent.push_back(send); };
+        hooks.placeBackup = [this](const TargetId &target) {
+            return isBackupOffered ? pick({target}) : std::nullopt;
+        };
+        hooks.findBackup = [this](const TargetId &holder) -> std::optional<StreamCopy> {
+            if (!isBackupHeld)
+                return std::nullopt;
+            return StreamCopy{holder, {"10.0.0.2", 80}, "r", true};
         };
         hooks.abandon = [this](std::uint64_t exchange) { abandoned.insert(exchange); };
         hooks.answerHead = [this](std::uint64_t) { ++heads; };
@@ -386,6 +387,81 @@
     LONGS_EQUAL(1, dropped.size());
 }
 
+TEST(RelayCall, aStreamThatBreaksOffGoesOnFromItsBackup)
+{
+    isBackupOffered = true;
+    beginStream();
+    STRCMP_EQUAL("b", sent[0].backup->text().c_str());
+    call->onEnd(sent[0].exchange, lost(), true);
+    LONGS_EQUAL(0, aborts);
+    LONGS_EQUAL(2, sent.size());
+    STRCMP_EQUAL("b", sent[1].target.text().c_str());
+    STRCMP_EQUAL("r", sent[1].resume->copy.handle.c_str());
+    LONGS_EQUAL(2, sent[1].resume->lastEvent);
+    STRCMP_EQUAL("a", sent[1].backup->text().c_str());
+    call->onConnected(sent[1].exchange);
+    call->onHead(sent[1].exchange, success());
+    call->onBody(sent[1].exchange, event(3));
+    // The second target breaks off as well, and has a backup of its own.
+    call->onEnd(sent[1].exchange, lost(), true);
+    LONGS_EQUAL(3, sent.size());
+    call->onHead(sent[2].exchange, success());
+    call->onBody(sent[2].exchange, event(4));
+    call->onEnd(sent[2].exchange, absl::OkStatus(), true);
+    STRCMP_EQUAL((event(1) + event(2) + event(3) + event(4)).c_str(), body.c_str());
+    LONGS_EQUAL(1, ends);
+    CHECK(dropped.empty());
+}
+
+TEST(RelayCall, aBackupThatDoesNotTakeTheStreamBreaksItOff)
+{
+    isBackupOffered = true;
+    beginStream();
+    call->onEnd(sent[0].exchange, lost(), true);
+    call->onHead(sent[1].exchange, refusal());
+    LONGS_EQUAL(1, aborts);
+    CHECK(call->isSettled());
+}
+
+TEST(RelayCall, aStreamIsBrokenOffWhereTheBackupsTargetLeaves)
+{
+    isBackupOffered = true;
+    isBackupHeld = false;
+    beginStream();
+    call->onEnd(sent[0].exchange, lost(), true);
+    LONGS_EQUAL(1, sent.size());
+    LONGS_EQUAL(1, aborts);
+}
+
+// The copy's completion would have been told by the target that is lost.
+TEST(RelayCall, aBackupReplacesACopyThatWasUnderWay)
+{
+    isBackupOffered = true;
+    beginStream();
+    call->onTargetLeaving();
+    call->onEnd(sent[0].exchange, lost(), true);
+    LONGS_EQUAL(2, sent.size());
+    STRCMP_EQUAL("r", sent[1].resume->copy.handle.c_str());
+    completeCopy();
+    LONGS_EQUAL(1, dropped.size());
+    call->onHead(sent[1].exchange, success());
+    answerWhole(sent[1].exchange, event(3));
+    LONGS_EQUAL(1, ends);
+}
+
+TEST(RelayCall, aStreamThatGoesOnBehindAGapIsBrokenOff)
+{
+    beginStream();
+    call->onTargetLeaving();
+    completeCopy();
+    call->onConnected(sent[1].exchange);
+    call->onHead(sent[1].exchange, success());
+    call->onBody(sent[1].exchange, event(4) + event(5));
+    STRCMP_EQUAL((event(1) + event(2)).c_str(), body.c_str());
+    LONGS_EQUAL(1, aborts);
+    CHECK(call->isSettled());
+}
+
 TEST(RelayCall, aStreamMovesAfterItsFirstEventWhereItsTargetLeavesBefore)
 {
     begin(RepeatRule::Stream);
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -205,6 +205,11 @@
             [this](const std::string &service, const std::vector<TargetId> &excluded,
                    const ZoneName &zone,
                    double spread) { return choose(service, excluded, zone, spread); },
+            [this](const std::string &service, const TargetId &target, const RelayLoad &load,
+                   std::uint32_t memoryTokens) {
+                return m_placer.chooseBackup(m_targets.usable(service), target, load, memoryTokens,
+                                             m_loop.timers().now(), m_settings.zone);
+            },
             [this](const std::string &service) {
                 return allowance(service).take(m_loop.timers().now());
             },
--- a/src/daemon/entrytypes.h
+++ b/src/daemon/entrytypes.h
@@ -54,6 +54,7 @@
     std::uint32_t urgency = 0; ///< Rank; 0 goes first.
     bool isGeneration = false;
     std::optional<StreamResume> resume;
+    std::optional<Endpoint> backup; ///< Of the target that is sent a copy of the run's memory.
 };
 
 /// A node's own answer.
--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -23,6 +23,9 @@
 // each destination's load is taken as up to this much higher, in requests, so that the choices
 // differ.
 static constexpr double MoveSpread = 3;
+// An answer that is expected to be shorter is over before a copy of it would help; its share of the
+// worth does not pay for the room.
+static constexpr std::uint32_t LeastBackedUpTokens = 200;
 // Where nothing is known of a generation's length, this part of its limit is expected.
 static constexpr std::uint32_t UnknownLengthDivisor = 2;
 
@@ -85,10 +88,9 @@
 {
     RelayHooks hooks;
     hooks.place = [this](const std::vector<TargetId> &excluded) { return place(excluded); };
-    hooks.send = [this](std::uint64_t exchange, const TargetId &target,
-                        const std::optional<StreamResume> &resume) {
-        send(exchange, target, resume);
-    };
+    hooks.send = [this](const RelaySend &order) { send(order); };
+    hooks.placeBackup = [this](const TargetId &target) { return placeBackup(target); };
+    hooks.findBackup = [this](const TargetId &holder) { return findBackup(holder); };
     hooks.placeMove = [this](const TargetId &source, const std::vector<TargetId> &excluded) {
         return placeMove(source, excluded);
     };
@@ -251,14 +253,41 @@
     finishIfSettled();
 }
 
-void RelaySession::send(std::uint64_t exchange, const TargetId &id,
-                        const std::optional<StreamResume> &resume)
+// The node's own zone comes first: a copy there can be reached when the zone is cut off.
+std::optional<TargetId> RelaySession::placeBackup(const TargetId &target) const
+{
+    const CatalogService *const service = m_admitted.catalog->findService(m_service);
+    const bool isWorthIt = service && service->engine && service->engine->hasCopies
+                           && load().expectedTokens >= LeastBackedUpTokens;
+    if (!isWorthIt)
+        return std::nullopt;
+    const ServiceTarget *const holder =
+            m_services.chooseBackup(m_service, target, load(), service->engine->memoryTokens);
+    if (!holder)
+        return std::nullopt;
+    return holder->id;
+}
+
+std::optional<StreamCopy> RelaySession::findBackup(const TargetId &id) const
+{
+    const ServiceTarget *const holder = m_services.targets.find(id);
+    if (!holder || holder->phase == TargetPhase::Leaving || !mayGoOn())
+        return std::nullopt;
+    return StreamCopy{id, holder->entry.endpoint, m_caller.id.text(), true};
+}
+
+void RelaySession::send(const RelaySend &order)
 {
+    const TargetId &id = order.target;
     const ServiceTarget *const target = m_services.targets.find(id);
     const TimePoint now = m_services.timers.now();
     TargetSend send;
     send.target = id;
-    send.resume = resume;
+    send.resume = order.resume;
+    const ServiceTarget *const holder =
+            order.backup ? m_services.targets.find(*order.backup) : nullptr;
+    if (holder)
+        send.backup = holder->entry.endpoint;
     send.deadline = std::max(m_call->request().deadline - now, Duration::zero());
     if (m_admitted.organisation)
         send.organisation = m_admitted.organisation->name;
@@ -277,15 +306,18 @@
     options.headTimeout = send.deadline;
     options.idleTimeout = send.deadline;
     if (m_call->sends() > 1)
-        logSend(*target, resume);
-    TargetExchange &entry = m_exchanges[exchange];
+        logSend(*target, order.resume);
+    TargetExchange &entry = m_exchanges[order.exchange];
     entry.target = id;
+    entry.backup = order.backup;
     m_services.placer.onSent(id, load());
+    if (entry.backup)
+        m_services.placer.onBackup(*entry.backup, load());
     if (load().promptTokens != 0)
         m_services.loadsChanged();
     entry.call = m_services.client.send(options,
                                         m_services.bindings.writeSend(m_exchange->request(), send),
-                                        callHooks(exchange, id, resume.has_value()));
+                                        callHooks(order.exchange, id, order.resume.has_value()));
 }
 
 HttpCallHooks RelaySession::callHooks(std::uint64_t exchange, const TargetId &target,
@@ -340,6 +372,8 @@
 void RelaySession::release(const TargetExchange &exchange)
 {
     m_services.placer.onEnded(exchange.target, load(), exchange.isWaiting);
+    if (exchange.backup)
+        m_services.placer.onBackupEnded(*exchange.backup, load());
     if (load().promptTokens != 0)
         m_services.loadsChanged();
 }
--- a/src/daemon/relaysession.h
+++ b/src/daemon/relaysession.h
@@ -28,6 +28,10 @@
                                         const std::vector<TargetId> &excluded, const ZoneName &zone,
                                         double spread)>
             choose;
+    /// Chooses where a copy of a generation at \a target is kept; nullptr where no target has room.
+    std::function<const ServiceTarget *(const std::string &service, const TargetId &target,
+                                        const RelayLoad &load, std::uint32_t memoryTokens)>
+            chooseBackup;
     std::function<bool(const std::string &service)> takeRetry;
     std::function<void(const TargetId &target, TargetService service)> report;
     std::function<void(HttpExchange &exchange, const EntryRefusal &refusal)> refuse;
@@ -62,6 +66,7 @@
         HttpResponseHead head;
         TargetId target;
         bool isWaiting = true; ///< No part of the answer has come.
+        std::optional<TargetId> backup;
     };
 
     RelayRequest relayRequest() const;
@@ -76,8 +81,9 @@
     void reserve(std::uint64_t move, const TargetId &destination);
     void dropReservation(std::uint64_t move);
     void dropCopy(const TargetId &source, const StreamCopy &copy);
-    void send(std::uint64_t exchange, const TargetId &id,
-              const std::optional<StreamResume> &resume);
+    std::optional<TargetId> placeBackup(const TargetId &target) const;
+    std::optional<StreamCopy> findBackup(const TargetId &holder) const;
+    void send(const RelaySend &order);
     HttpCallHooks callHooks(std::uint64_t exchange, const TargetId &target, bool isResumed);
     void abandon(std::uint64_t exchange);
     void release(const TargetExchange &exchange);
--- a/src/routing/relayplacer.cpp
+++ b/src/routing/relayplacer.cpp
@@ -61,7 +61,42 @@
     if (isWaiting)
         it->second.waitingTokens -= load.promptTokens;
     it->second.tokens -= load.promptTokens + load.expectedTokens;
-    if (--it->second.requests == 0)
+    --it->second.requests;
+    if (it->second.isEmpty())
+        m_own.erase(it);
+}
+
+const ServiceTarget *RelayPlacer::chooseBackup(const std::vector<const ServiceTarget *> &candidates,
+                                               const TargetId &target, const RelayLoad &load,
+                                               std::uint32_t memoryTokens, TimePoint now,
+                                               const ZoneName &zone) const
+{
+    const auto source =
+            std::find_if(candidates.begin(), candidates.end(),
+                         [&target](const ServiceTarget *each) { return each->id == target; });
+    const bool isFar = source != candidates.end() && (*source)->entry.zone != zone;
+    const double share = isFar ? m_options.otherZoneBackupShare : m_options.backupShare;
+    const double limit = share * memoryTokens;
+    std::vector<const ServiceTarget *> roomy;
+    for (const ServiceTarget *candidate : candidates) {
+        const std::uint64_t tokens = sumAt(candidate->id, now).tokens;
+        if (static_cast<double>(tokens + load.promptTokens + load.expectedTokens) <= limit)
+            roomy.push_back(candidate);
+    }
+    return choose(roomy, {target}, now, zone);
+}
+
+void RelayPlacer::onBackup(const TargetId &holder, const RelayLoad &load)
+{
+    m_own[holder].tokens += load.promptTokens + load.expectedTokens;
+}
+
+void RelayPlacer::onBackupEnded(const TargetId &holder, const RelayLoad &load)
+{
+    const auto it = m_own.find(holder);
+    assert(it != m_own.end() && "each end follows a beginning");
+    it->second.tokens -= load.promptTokens + load.expectedTokens;
+    if (it->second.isEmpty())
         m_own.erase(it);
 }
 
@@ -74,7 +109,7 @@
     peer = {incarnation, sequence, now, std::move(loads)};
 }
 
-double RelayPlacer::loadOf(const TargetId &target, TimePoint now) const
+RelayedLoad RelayPlacer::sumAt(const TargetId &target, TimePoint now) const
 {
     RelayedLoad sum;
     const auto add = [&sum, &target](const RelayedLoads &loads) {
@@ -87,6 +122,12 @@
         if (now - peer.receivedAt < m_options.peerLoadLifetime)
             add(peer.loads);
     }
+    return sum;
+}
+
+double RelayPlacer::loadOf(const TargetId &target, TimePoint now) const
+{
+    const RelayedLoad sum = sumAt(target, now);
     return sum.requests + static_cast<double>(sum.tokens) / m_options.tokensPerRequest
            + static_cast<double>(sum.waitingTokens) / m_options.waitingTokensPerRequest;
 }
--- a/src/routing/relayplacer.h
+++ b/src/routing/relayplacer.h
@@ -27,6 +27,7 @@
     std::uint64_t waitingTokens = 0; ///< Of prompts whose first event has not come.
 
     RelayedLoad &operator+=(const RelayedLoad &other);
+    bool isEmpty() const { return requests == 0 && tokens == 0 && waitingTokens == 0; }
 };
 
 using RelayedLoads = std::map<TargetId, RelayedLoad>;
@@ -49,6 +50,10 @@
         double waitingTokensPerRequest = 700;
         /// Load added to a target that is still slow after its start, in requests.
         double coldPenalty = 2.0;
+        /// Part of a target's memory that may be taken, by expectation, with copies among it. What
+        /// runs must find room: it would be preempted, and read again.
+        double backupShare = 0.3;
+    double otherZoneBackupShare = 0.5;
         /// How long a peer's loads are taken into account without a newer message.
         Duration peerLoadLifetime = std::chrono::milliseconds(1500);
     };
@@ -70,6 +75,15 @@
     /// \a isWaiting tells that no event had come.
     void onEnded(const TargetId &target, const RelayLoad &load, bool isWaiting);
 
+    /// Returns the least loaded of \a candidates other than \a target that has room to keep a copy
+    /// of a generation, those in \a zone preferred; nullptr if none.
+    const ServiceTarget *chooseBackup(const std::vector<const ServiceTarget *> &candidates,
+                                      const TargetId &target, const RelayLoad &load,
+                                      std::uint32_t memoryTokens, TimePoint now,
+                                      const ZoneName &zone) const;
+    void onBackup(const TargetId &holder, const RelayLoad &load);
+    void onBackupEnded(const TargetId &holder, const RelayLoad &load);
+
     /// Returns what this node itself has in progress.
     const RelayedLoads &ownLoads() const { return m_own; }
     /// Takes the loads of the node \a vm; older ones than it has sent before are passed over.
@@ -91,6 +105,8 @@
     RandomSource &m_random;
     RelayedLoads m_own;
     std::map<VmId, PeerLoads> m_peers;
+
+    RelayedLoad sumAt(const TargetId &target, TimePoint now) const;
 };
 
 } // namespace currantwalk
--- a/src/routing/tests/relayplacertest.cpp
+++ b/src/routing/tests/relayplacertest.cpp
@@ -69,6 +69,30 @@
     CHECK(placer.ownLoads().empty());
 }
 
+// Answers targets that crash under a load which leaves some memory free: what runs comes first.
+TEST(RelayPlacer, aCopyIsKeptWhereThereIsRoom)
+{
+    RelayPlacer placer({}, random);
+    const RelayLoad load{3000, 1000};
+    const auto keeper = [&](const char *source) -> std::string {
+        const ServiceTarget *const target =
+                placer.chooseBackup(candidates(), TargetId(source), load, 20000, {}, own);
+        return target ? target->id.text() : "";
+    };
+    STRCMP_EQUAL("b1", keeper("a1").c_str());
+    placer.onBackup(TargetId("b1"), load);
+    STRCMP_EQUAL("a2", keeper("a1").c_str());
+    placer.onBackup(TargetId("a2"), load);
+    STRCMP_EQUAL("", keeper("a1").c_str());
+    // A generation in another zone may lose its target with the link, and gets more room.
+    placer.onSent(TargetId("a1"), load);
+    STRCMP_EQUAL("b1", keeper("a2").c_str());
+    placer.onBackupEnded(TargetId("b1"), load);
+    placer.onBackupEnded(TargetId("a2"), load);
+    placer.onEnded(TargetId("a1"), load, true);
+    CHECK(placer.ownLoads().empty());
+}
+
 TEST(RelayPlacer, passesOverATargetThatIsStillSlow)
 {
     RelayPlacer placer({}, random);
