Logs: a request's story from the logs of all VMs, and a check of their schema

Each generation has a line when it is sent and when it ends, so that one whose node was killed can be told; so have requests sent again or answered with an error. A refusal tells the catalogue's version and age, a stream that is broken off the reason. The line that counts left-out lines lacked its time.

--- a/src/calls/relaycall.cpp
+++ b/src/calls/relaycall.cpp
@@ -101,10 +101,11 @@
 
 void RelayCall::onDeadline()
 {
+    const absl::Status reason = makeError(ErrorCode::DeadlineExceeded, "the time limit has passed");
     if (m_isPassing)
-        breakOff();
+        breakOff(reason);
     else
-        fail(makeError(ErrorCode::DeadlineExceeded, "the time limit has passed"));
+        fail(reason);
 }
 
 bool RelayCall::mayRunAgain() const
@@ -298,7 +299,7 @@
     m_excluded.push_back(m_target);
     if (m_isPassing) {
         if (!resumeFromBackup(status))
-            breakOff();
+            breakOff(status);
         return;
     }
     if (mayRunAgain() && m_hooks.takeRetry()) {
@@ -464,10 +465,10 @@
     settle();
 }
 
-void RelayCall::breakOff()
+void RelayCall::breakOff(const absl::Status &reason)
 {
     dropExchange();
-    m_hooks.answerAbort();
+    m_hooks.answerAbort(reason);
     settle();
 }
 
@@ -491,10 +492,11 @@
 {
     if (isSettled())
         return;
+    const absl::Status reason = makeError(ErrorCode::Draining, "the node is stopping");
     if (m_isPassing)
-        breakOff();
+        breakOff(reason);
     else
-        fail(makeError(ErrorCode::Draining, "the node is stopping"));
+        fail(reason);
 }
 
 void RelayCall::dropExchange()
--- a/src/calls/relaycall.h
+++ b/src/calls/relaycall.h
@@ -112,7 +112,7 @@
     std::function<void(std::string_view bytes)> answerBody;
     std::function<void()> answerEnd;
     /// Breaks off an answer whose head has been passed on.
-    std::function<void()> answerAbort;
+    std::function<void(const absl::Status &reason)> answerAbort;
     std::function<void(const RelayFailure &failure)> fail;
     /// Spends one retry of the service's budget.
     std::function<bool()> takeRetry;
@@ -202,7 +202,7 @@
     void takeEvents(std::string_view bytes);
     void passHeldAnswer();
     void finish();
-    void breakOff();
+    void breakOff(const absl::Status &reason);
     void fail(const absl::Status &status, Duration retryAfter = Duration(0));
     void dropExchange();
     void settle();
--- a/src/calls/tests/relaycalltest.cpp
+++ b/src/calls/tests/relaycalltest.cpp
@@ -56,7 +56,7 @@
         hooks.answerHead = [this](std::uint64_t) { ++heads; };
         hooks.answerBody = [this](std::string_view bytes) { body += bytes; };
         hooks.answerEnd = [this] { ++ends; };
-        hooks.answerAbort = [this] { ++aborts; };
+        hooks.answerAbort = [this](const absl::Status &) { ++aborts; };
         hooks.fail = [this](const RelayFailure &told) { failure = told; };
         hooks.takeRetry = [this] { return retriesLeft-- > 0; };
         hooks.report = [](const TargetId &, TargetService) {};
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -8,6 +8,7 @@
 #include "base/json.h"
 #include "cli/completion.h"
 #include "cli/exitcode.h"
+#include "cli/logcommands.h"
 #include "cli/publishing.h"
 #include "cli/rendering.h"
 #include "cli/texttable.h"
@@ -110,6 +111,8 @@
 
 static int runExplain(const CommandContext &context)
 {
+    if (context.arguments.operands.size() > 1)
+        return explainFromLogs(context);
     Json::Value params = noParams();
     params["request"] = context.arguments.operands[0];
     return ask(context, "explain", params, renderExplanation);
@@ -230,8 +233,15 @@
              "nothing "
              "is\n",
              0, 0, runDrain},
-            {"explain", "REQUEST", "show why each attempt of a request went where it did",
-             "REQUEST is the id that the answer's head and the logs name.\n", 1, 1, runExplain},
+            {"explain", "REQUEST [LOG...]", "show why each attempt of a request went where it did",
+             "REQUEST is the id that the answer's head and the logs name. Without a LOG the node "
+             "is "
+             "asked;\nwith any, the story is put together from these files, - for standard "
+             "input.\n",
+             1, AnyNumber, runExplain},
+            {"logs", "check LOG...", "tell whether the lines of logs keep their schema",
+             "LOG is a file, or - for standard input. Ends with 65 where a line does not.\n", 2,
+             AnyNumber, runLogs},
             {"report", "burn", "show service-level burn over several windows",
              "  --by GROUP   rows by service (the default), organisation or zone\n"
              "  --page FILE  also write a self-contained HTML page with plots\n",
--- a/src/cli/completion.cpp
+++ b/src/cli/completion.cpp
@@ -31,7 +31,7 @@
              "    esac\n"
              "    case $command in\n"
              "        '') COMPREPLY=($(compgen -W \"$commands\" -- \"$current\")) ;;\n"
-             "        check|publish|diff) COMPREPLY=($(compgen -f -- \"$current\")) ;;\n"
+             "        check|publish|diff|explain|logs) COMPREPLY=($(compgen -f -- \"$current\")) ;;\n"
              "        poison) COMPREPLY=($(compgen -W \"list clear\" -- \"$current\")) ;;\n"
              "        help) COMPREPLY=($(compgen -W \"$commands\" -- \"$current\")) ;;\n"
              "        completion) COMPREPLY=($(compgen -W bash -- \"$current\")) ;;\n"
--- a/src/cli/tests/clitest.cpp
+++ b/src/cli/tests/clitest.cpp
@@ -1,3 +1,8 @@
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <sstream>
@@ -61,6 +66,16 @@
     CHECK(errorCode(parse({"--node", "localhost:1"}).status()) == ErrorCode::AddressInvalid);
 }
 
+static std::string temporaryFile(const std::string &text)
+{
+    std::string path = "/tmp/clitest-XXXXXX";
+    const int descriptor = mkstemp(path.data());
+    CHECK(descriptor >= 0);
+    close(descriptor);
+    std::ofstream(path) << text;
+    return path;
+}
+
 TEST_GROUP(Commands)
 {
     std::ostringstream out;
@@ -124,6 +139,29 @@
     CHECK_EQUAL(EX_NOINPUT, run({"check", "/nonexistent.toml"}));
 }
 
+TEST(Commands, logsAreCheckedAndExplainedWithoutANode)
+{
+    const std::string log =
+            temporaryFile(R"({"time":"2026-03-21T12:55:01Z","level":"info","part":"callers",)"
+                          R"("message":"Refused: stale-keys","request":"r1"})"
+                          "\n");
+    const std::string cut = temporaryFile("{\"time\":\"2026-\n");
+    CHECK_EQUAL(EX_OK, run({"logs", "check", log.c_str()}));
+    CHECK(outHas("1 lines keep the schema, 0 do not"));
+    CHECK_EQUAL(EX_DATAERR, run({"logs", "check", log.c_str(), cut.c_str()}));
+    CHECK(outHas(cut + ":1: "));
+    CHECK_EQUAL(EX_USAGE, run({"logs", "wash", log.c_str()}));
+    CHECK_EQUAL(EX_NOINPUT, run({"logs", "check", "/nonexistent.jsonl"}));
+    CHECK_EQUAL(EX_OK, run({"explain", "r1", log.c_str()}));
+    CHECK(outHas("was refused by " + log));
+    CHECK_EQUAL(EX_OK, run({"explain", "--json", "r1", log.c_str()}));
+    LONGS_EQUAL(1, static_cast<long>((*parseJson(out.str()))["lines"].size()));
+    CHECK_EQUAL(EX_NOINPUT, run({"explain", "r2", log.c_str()}));
+    CHECK(calls.empty());
+    std::remove(log.c_str());
+    std::remove(cut.c_str());
+}
+
 TEST(Commands, publishAsksTheBaseFirst)
 {
     answer("status", R"({"config_version":12})");
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -260,14 +260,15 @@
     const HttpRequest &request = exchange->request();
     absl::StatusOr<CallerRequest> caller = m_bindings.readRequest(request);
     if (!caller.ok()) {
-        refuse(*exchange, {400, Duration::zero(), errorName(errorCode(caller.status()))});
+        refuseRequest(*exchange, RequestId(),
+                      {400, Duration::zero(), errorName(errorCode(caller.status()))});
         return;
     }
     AdmittedRequest admitted =
             admitRequest(m_catalog, caller->host, request.path, caller->key, m_settings.maxKeyAge);
     if (!m_drain->isTakingWork()) {
-        logRequest(LogPart::Callers, LogLevel::Info, caller->id.text(), "Refused: draining");
-        refuse(*exchange, {503, StaleRetryAfter, errorName(ErrorCode::Draining)});
+        refuseRequest(*exchange, caller->id,
+                      {503, StaleRetryAfter, errorName(ErrorCode::Draining)});
         return;
     }
     if (admitted.admission != Admission::Admitted) {
@@ -276,7 +277,8 @@
     }
     const std::size_t maxBody = admitted.catalog->limits().maxBodyBytes;
     if (maxBody != 0 && request.body.size() > maxBody) {
-        refuse(*exchange, {413, Duration::zero(), errorName(ErrorCode::RequestTooLarge)});
+        refuseRequest(*exchange, caller->id,
+                      {413, Duration::zero(), errorName(ErrorCode::RequestTooLarge)});
         return;
     }
     const std::string service = pickService(admitted.route->services, m_random.uniform());
@@ -312,8 +314,22 @@
         refusal.retryAfter = StaleRetryAfter;
         break;
     }
-    logRequest(LogPart::Callers, LogLevel::Info, id.text(),
-               "Refused: " + std::string(refusal.reason));
+    refuseRequest(exchange, id, refusal);
+}
+
+// Refuses before any placing.
+void EntryNode::refuseRequest(HttpExchange &exchange, const RequestId &id,
+                              const EntryRefusal &refusal)
+{
+    std::string line = "Refused: " + std::string(refusal.reason);
+    line += " status=" + std::to_string(refusal.status);
+    if (m_catalog.current())
+        line += " catalog=" + std::to_string(m_catalog.current()->version());
+    if (const std::optional<Duration> age = m_catalog.age()) {
+        const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(*age);
+        line += " catalog_age_ms=" + std::to_string(elapsed.count());
+    }
+    logRequest(LogPart::Callers, LogLevel::Info, id.text(), line);
     refuse(exchange, refusal);
 }
 
--- a/src/daemon/entrynode.h
+++ b/src/daemon/entrynode.h
@@ -57,6 +57,7 @@
     void onSessionDone(RelaySession *session);
     void refuse(HttpExchange &exchange, EntryRefusal refusal);
     void refuseUnadmitted(HttpExchange &exchange, Admission admission, const RequestId &id);
+    void refuseRequest(HttpExchange &exchange, const RequestId &id, const EntryRefusal &refusal);
     void onServed(const TargetId &target, TargetService service);
     void askTargets();
     void askTarget(const ServiceTarget &target);
--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -107,9 +107,9 @@
         m_exchange->finish();
         logOutcome("done", "");
     };
-    hooks.answerAbort = [this] {
+    hooks.answerAbort = [this](const absl::Status &reason) {
         m_exchange->abort();
-        logOutcome("broken-off", "");
+        logOutcome("broken-off", std::string(reason.message()));
     };
     hooks.fail = [this](const RelayFailure &failure) { fail(failure); };
     hooks.takeRetry = [this] { return m_services.takeRetry(m_service); };
@@ -305,8 +305,9 @@
     options.connectTimeout = ConnectTimeout;
     options.headTimeout = send.deadline;
     options.idleTimeout = send.deadline;
-    if (m_call->sends() > 1)
-        logSend(*target, order.resume);
+    // A generation in progress is told of, since a node that is killed tells nothing more.
+    if (m_call->sends() > 1 || m_call->request().rule == RepeatRule::Stream)
+        logSend(*target, order);
     TargetExchange &entry = m_exchanges[order.exchange];
     entry.target = id;
     entry.backup = order.backup;
@@ -391,6 +392,7 @@
 void RelaySession::answerHead(std::uint64_t exchange)
 {
     HttpResponseHead head = m_exchanges.at(exchange).head;
+    m_status = head.status;
     if (m_services.isStopping())
         m_exchange->closeAfterAnswer();
     m_exchange->start(std::move(head));
@@ -436,16 +438,21 @@
     logOutcome(outcomeName(failure.outcome), std::string(failure.status.message()));
 }
 
-void RelaySession::logSend(const ServiceTarget &target,
-                           const std::optional<StreamResume> &resume) const
+void RelaySession::logSend(const ServiceTarget &target, const RelaySend &order) const
 {
     const double load = m_services.placer.loadOf(target.id, m_services.timers.now());
-    std::string line = "Sent again to " + target.id.text() + " in " + target.entry.zone.text();
+    std::string line = m_call->sends() > 1 ? "Sent again to " : "Sent to ";
+    line += target.id.text() + " in " + target.entry.zone.text();
     line += " phase=" + std::string(targetPhaseName(target.phase));
     line += " load=" + std::to_string(std::lround(load));
-    if (resume)
-        line += " behind event " + std::to_string(resume->lastEvent) + " from copy "
-                + resume->copy.handle;
+    line += " sends=" + std::to_string(m_call->sends());
+    line += " catalog=" + std::to_string(m_admitted.catalog->version());
+    line += " catalog_age_ms=" + millisecondText(m_services.catalog.age().value_or(Duration(0)));
+    if (order.backup)
+        line += " copied_to=" + order.backup->text();
+    if (order.resume)
+        line += " behind event " + std::to_string(order.resume->lastEvent) + " from copy "
+                + order.resume->copy.handle;
     logRequest(LogPart::Routing, LogLevel::Info, m_caller.id.text(), line);
 }
 
@@ -481,13 +488,18 @@
     if (m_firstPartAt)
         line += " first_ms=" + millisecondText(*m_firstPartAt - m_arrivedAt)
                 + " gap_ms=" + millisecondText(m_longestGap);
+    if (m_status != 0)
+        line += " status=" + std::to_string(m_status);
     if (isLate())
         line += " late";
     line += " catalog=" + std::to_string(m_admitted.catalog->version());
     line += " catalog_age_ms=" + millisecondText(m_services.catalog.age().value_or(Duration(0)));
     if (!reason.empty())
         line += " reason=\"" + std::string(reason) + '"';
-    const LogLevel level = outcome == "done" && !isLate() ? LogLevel::Debug : LogLevel::Info;
+    // What has a line for its send and none for its end was in progress when its node was killed.
+    const bool isOrdinary = outcome == "done" && m_status < 400 && !isLate() && m_call->sends() == 1
+                            && m_admitted.route->rule != RepeatRule::Stream;
+    const LogLevel level = isOrdinary ? LogLevel::Debug : LogLevel::Info;
     logRequest(LogPart::Calls, level, m_caller.id.text(), line);
 }
 
--- a/src/daemon/relaysession.h
+++ b/src/daemon/relaysession.h
@@ -93,7 +93,7 @@
     void answerBody(std::string_view bytes);
     bool isLate() const;
     void countOutcome(std::string_view outcome) const;
-    void logSend(const ServiceTarget &target, const std::optional<StreamResume> &resume) const;
+    void logSend(const ServiceTarget &target, const RelaySend &order) const;
     void logFailedSend(const TargetId &target, const absl::Status &status, bool wasSent) const;
     void logOutcome(std::string_view outcome, std::string_view reason) const;
     void finishIfSettled();
@@ -105,6 +105,7 @@
     const std::string m_service;
     const Done m_done;
     const TimePoint m_arrivedAt;
+    int m_status = 0; ///< Of the answer that was passed on; 0: none yet.
     std::optional<TimePoint> m_firstPartAt;
     TimePoint m_lastPartAt{};
     Duration m_longestGap{0}; ///< Between two parts of the answer.
--- a/src/daemon/tests/entrynodetest.cpp
+++ b/src/daemon/tests/entrynodetest.cpp
@@ -1,11 +1,17 @@
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
 #include <deque>
 #include <map>
+#include <sstream>
 #include <string>
 #include <vector>
 
 #include "base/json.h"
 #include "daemon/entrynode.h"
 #include "net/tests/looptesting.h"
+#include "observe/logstory.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -290,6 +296,57 @@
     LONGS_EQUAL(1, static_cast<long>(targetBench.exchanges.size()));
 }
 
+// Each end of a request that its caller may ask about is in the logs.
+TEST(EntryNode, whatIsNotServedHasALineWithItsReason)
+{
+    std::array<int, 2> ends{};
+    LONGS_EQUAL(0, pipe2(ends.data(), O_NONBLOCK));
+    initBoundedLogging(ends[1], LogLevel::Info,
+                       [this] { return targetBench.loop->timers().now(); });
+    startServing();
+    send("/z/x");
+    LONGS_EQUAL(404, answer());
+    send("/a/x", "wrong");
+    LONGS_EQUAL(401, answer());
+    send("/a/x");
+    respond(*arrival(0), 500, "text/plain", "");
+    LONGS_EQUAL(500, answer());
+    send("/a/x");
+    arrival(1)->abort();
+    LONGS_EQUAL(502, answer());
+    send("/s/x");
+    arrival(2)->start({200, {}});
+    targetBench.exchanges[2]->write("id: 1\ndata: x\n\n");
+    CHECK(targetBench.runUntil([this] { return !record.body.empty(); }));
+    targetBench.exchanges[2]->abort();
+    CHECK(targetBench.runUntil([this] { return record.status.has_value(); }));
+    CHECK(targetBench.runUntil([this] { return !node->isReady(); }));
+    send("/a/x");
+    LONGS_EQUAL(503, answer());
+    node->beginDrain();
+    initLogging(LogFormat::Text, LogLevel::Error);
+    close(ends[1]);
+    std::string text;
+    std::array<char, 4096> part{};
+    for (ssize_t size = 0; (size = read(ends[0], part.data(), part.size())) > 0;)
+        text.append(part.data(), static_cast<std::size_t>(size));
+    close(ends[0]);
+    LogSet logs;
+    std::istringstream stream(text);
+    logs.read(stream, "n");
+    CHECK(logs.faults.empty());
+    std::vector<std::string> reasons{
+            "Refused: no-route status=404", "Refused: unknown-key status=401",
+            "Request ended: done",          "Request ended: unknown",
+            "Request ended: broken-off",    "Refused: stale-keys status=503"};
+    for (const LogRecord &logged : logs.records) {
+        if (!logged.request.empty() && !reasons.empty()
+            && logged.message.compare(0, reasons.front().size(), reasons.front()) == 0)
+            reasons.erase(reasons.begin());
+    }
+    STRCMP_EQUAL("", reasons.empty() ? "" : reasons.front().c_str());
+}
+
 TEST(EntryNode, theRoutesTimeLimitGivesTheFinalAnswer)
 {
     startServing();
--- a/src/observe/logging.cpp
+++ b/src/observe/logging.cpp
@@ -74,6 +74,11 @@
     return enumName(LogPartNames, part);
 }
 
+std::optional<LogPart> logPartFromName(std::string_view name)
+{
+    return enumValue(LogPartNames, name);
+}
+
 namespace {
 
 using Logger = boost::log::sources::severity_logger<LogLevel>;
@@ -114,11 +119,15 @@
     return value ? *value : fallback;
 }
 
+static std::string isoTime(const boost::posix_time::ptime &time)
+{
+    return boost::posix_time::to_iso_extended_string(time) + "Z";
+}
+
 static std::string timeOf(const boost::log::record_view &record)
 {
     using boost::posix_time::ptime;
-    const ptime time = attributeOf<ptime>(record, "TimeStamp", ptime());
-    return boost::posix_time::to_iso_extended_string(time) + "Z";
+    return isoTime(attributeOf<ptime>(record, "TimeStamp", ptime()));
 }
 
 static std::string partOf(const boost::log::record_view &record)
@@ -167,6 +176,7 @@
 static std::string leftOutLine(std::uint64_t count)
 {
     Json::Value json(Json::objectValue);
+    json["time"] = isoTime(boost::posix_time::microsec_clock::universal_time());
     json["level"] = "warning";
     json["part"] = "daemon";
     json["message"] = "Lines were left out: the budget was spent, or the reader did not read.";
--- a/src/observe/logging.h
+++ b/src/observe/logging.h
@@ -37,6 +37,7 @@
 std::optional<LogLevel> logLevelFromName(std::string_view name);
 std::optional<LogFormat> logFormatFromName(std::string_view name);
 std::string_view logPartName(LogPart part);
+std::optional<LogPart> logPartFromName(std::string_view name);
 
 /// Sets format and least level, for standard error. Lines before it are dropped.
 void initLogging(LogFormat format, LogLevel level);
