--- a/utils/check.sh
+++ b/utils/check.sh
@@ -12,9 +12,10 @@
 jobs=$(nproc)
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
+started=$SECONDS
 
-ok() { passed=$((passed + ${2:-1})); echo "pass: $1"; }
-bad() { failed=$((failed + ${2:-1})); echo "FAIL: $1"; }
+ok() { passed=$((passed + ${2:-1})); echo "pass: $1 [$((SECONDS - started)) s]"; }
+bad() { failed=$((failed + ${2:-1})); echo "FAIL: $1 [$((SECONDS - started)) s]"; }
 finish() { echo "$passed passed, $failed failed"; [ "$failed" -eq 0 ]; exit; }
 
 is_known_red() { [ -f KNOWN-RED.txt ] && grep -qF "$1" KNOWN-RED.txt; }
@@ -38,22 +39,31 @@
 
 test_programs() { find "build/$1/src" "build/$1/platform" -maxdepth 2 -name '*Tests' -type f -perm -u+x | sort; }
 
-# run_program PROGRAM: runs one test program; its output and exit code go to files.
+# run_program PROGRAM DIRECTORY: runs one test program; its output and exit code go to files.
 run_program() {
-    "$1" >"$out/$(basename "$1").log" 2>&1
-    echo $? >"$out/$(basename "$1").code"
+    "$1" >"$2/$(basename "$1").log" 2>&1
+    echo $? >"$2/$(basename "$1").code"
 }
+export -f run_program
 
-# run_tests PRESET: runs the test programs, several at once, and counts their single tests.
-run_tests() {
+# start_tests PRESET: runs the test programs, several at once, beside the steps that follow. Most of
+# their time is spent waiting, or in one long program.
+start_tests() {
+    local results=$out/$1
+    mkdir -p "$results"
+    test_programs "$1" \
+        | xargs -P "$jobs" -I '{}' bash -c 'run_program "$1" "$2"' _ '{}' "$results" &
+    tests=$!
+}
+
+# report_tests PRESET: waits for the test programs and counts their single tests.
+report_tests() {
     local preset=$1 program name log code total red count
-    export -f run_program
-    export out
-    test_programs "$preset" | xargs -P "$jobs" -I '{}' bash -c 'run_program "$1"' _ '{}'
+    wait "$tests"
     while IFS= read -r program; do
         name="$preset/$(basename "$program")"
-        log="$out/$(basename "$program").log"
-        code=$(cat "$out/$(basename "$program").code")
+        log="$out/$preset/$(basename "$program").log"
+        code=$(cat "$out/$preset/$(basename "$program").code")
         total=$(grep -oE '(OK|Errors) \([^)]*' "$log" | grep -oE '[0-9]+ ran' | grep -oE '[0-9]+' | tail -1)
         if [ -z "$total" ]; then
             tail -n 60 "$log"
@@ -101,11 +111,15 @@
 run_step "install" utils/install-deps.sh || finish
 run_step "format" check_format
 run_step "build release" build release || finish
-run_tests release
-[ "$quick" = yes ] && finish
-run_step "build sanitize" build sanitize || finish
-run_tests sanitize
-run_step "build fuzz" build fuzz --target fuzzers && run_fuzzers
+start_tests release
+[ "$quick" = yes ] && { report_tests release; finish; }
+run_step "build sanitize" build sanitize
+built=$?
+report_tests release
+[ "$built" -eq 0 ] || finish
+start_tests sanitize
 run_step "lint" check_lint
+run_step "build fuzz" build fuzz --target fuzzers && run_fuzzers
+report_tests sanitize
 [ -x utils/demo.sh ] && run_step "demo" utils/demo.sh
 finish
