A gap after a move is told only where events were evenly numbered

Cause: the guard took the step between the last two events for the rule; a stream whose numbers grow unevenly would have been broken off at its first move with a larger step. Test: unevenNumbersOfEventsAreNoGap.

--- a/src/calls/relaycall.cpp
+++ b/src/calls/relaycall.cpp
@@ -216,8 +216,8 @@
 {
     if (event.number && m_lastEvent && *event.number <= *m_lastEvent)
         return;
-    const bool isFirstResumed = event.number && std::exchange(m_isResumed, false);
-    if (isFirstResumed && m_eventStep != 0 && *event.number > *m_lastEvent + m_eventStep) {
+    if (event.number && isBehindGap(*event.number)) {
+        // A copy of this run lacks the same events.
         m_backup.reset();
         onUnusable(
                 makeError(ErrorCode::TargetProtocol, "the stream does not go on where it ended"));
@@ -227,14 +227,29 @@
         m_isPassing = true;
         m_hooks.answerHead(m_exchange);
     }
-    if (event.number) {
-        if (m_lastEvent)
-            m_eventStep = *event.number - *m_lastEvent;
-        m_lastEvent = event.number;
-    }
+    if (event.number)
+        noteNumber(*event.number);
     m_hooks.answerBody(event.bytes);
 }
 
+// Numbers only have to grow; a gap can be told where they have grown evenly so far.
+void RelayCall::noteNumber(std::uint64_t number)
+{
+    if (m_lastEvent) {
+        const std::uint64_t step = number - *m_lastEvent;
+        m_isUneven = m_isUneven || (m_eventStep != 0 && step != m_eventStep);
+        m_eventStep = step;
+    }
+    m_lastEvent = number;
+}
+
+// Tells whether events are missing between the last one and the first of a stream that goes on.
+bool RelayCall::isBehindGap(std::uint64_t number)
+{
+    const bool isFirst = std::exchange(m_isResumed, false);
+    return isFirst && !m_isUneven && m_eventStep != 0 && number > *m_lastEvent + m_eventStep;
+}
+
 void RelayCall::passHeldAnswer()
 {
     m_isPassing = true;
--- a/src/calls/relaycall.h
+++ b/src/calls/relaycall.h
@@ -199,6 +199,8 @@
     void dropResume();
     void dropUnusedCopy();
     void passEvent(const RawEvent &event);
+    void noteNumber(std::uint64_t number);
+    bool isBehindGap(std::uint64_t number);
     void takeEvents(std::string_view bytes);
     void passHeldAnswer();
     void finish();
@@ -224,6 +226,7 @@
     std::string m_held; ///< Body of an answer that is not yet passed on.
     std::optional<std::uint64_t> m_lastEvent;
     std::uint64_t m_eventStep = 0; ///< Between the numbers of the last two events; 0: not known.
+    bool m_isUneven = false;       ///< Steps between events have differed.
     bool m_isResumed = false;      ///< No event has come since the stream goes on elsewhere.
     bool m_isPassing = false;      ///< The answer's head has been passed on.
 
--- a/src/calls/tests/relaycalltest.cpp
+++ b/src/calls/tests/relaycalltest.cpp
@@ -462,6 +462,19 @@
     CHECK(call->isSettled());
 }
 
+TEST(RelayCall, unevenNumbersOfEventsAreNoGap)
+{
+    beginStream();
+    call->onBody(sent[0].exchange, event(5));
+    call->onTargetLeaving();
+    completeCopy();
+    call->onConnected(sent[1].exchange);
+    call->onHead(sent[1].exchange, success());
+    call->onBody(sent[1].exchange, event(9));
+    LONGS_EQUAL(0, aborts);
+    STRCMP_EQUAL((event(1) + event(2) + event(5) + event(9)).c_str(), body.c_str());
+}
+
 TEST(RelayCall, aStreamMovesAfterItsFirstEventWhereItsTargetLeavesBefore)
 {
     begin(RepeatRule::Stream);
--- a/src/routing/relayplacer.h
+++ b/src/routing/relayplacer.h
@@ -53,7 +53,7 @@
         /// Part of a target's memory that may be taken, by expectation, with copies among it. What
         /// runs must find room: it would be preempted, and read again.
         double backupShare = 0.3;
-    double otherZoneBackupShare = 0.5;
+        double otherZoneBackupShare = 0.5;
         /// How long a peer's loads are taken into account without a newer message.
         Duration peerLoadLifetime = std::chrono::milliseconds(1500);
     };
