Nodes tell one another which targets have said they are leaving

Ruled out: asking more often, which is priced and late by the engine's own half second. Change: the message about loads also names the targets, with their start, that have said of late that they are leaving; it is sent at once. An entry that is merely gone is not passed on, as it may have lapsed. Load that it answers: stores that are away, or turn some nodes away, while targets leave.

--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -84,7 +84,8 @@
               {[this] { return catalogNote(); },
                [this](const RosterEntry &peer, const CatalogNote &note, TimePoint sentAt) {
                    onCatalogNote(peer, note, sentAt);
-               }},
+               },
+               [this](const LeavingTarget &target) { m_targets.takeNews(target); }},
               loop.timers()),
       m_services(relayServices())
 {
@@ -230,6 +231,8 @@
     const TargetId id = target.id;
     for (RelaySession *session : sessions)
         session->targetLeaving(id);
+    // Peers that can't read the store hear of it from this node.
+    m_loads.onChange();
 }
 
 void EntryNode::onServed(const TargetId &target, TargetService service)
--- a/src/daemon/loadexchange.cpp
+++ b/src/daemon/loadexchange.cpp
@@ -100,6 +100,7 @@
         message["self"] = encodeRosterEntry(m_self);
         message["sequence"] = Json::UInt64(m_sequence);
         message["loads"] = encodeLoads(loads);
+        message["leaving"] = encodeLeaving(m_targets.leavingNews());
         for (const auto &[peer, entry] : m_roster.peersIn(zone, now)) {
             m_peers.call(entry.peers, LoadsMethod, message,
                          [this, alive = m_alive, vm = peer, entry = entry,
@@ -138,13 +139,19 @@
             message.isObject()
                     ? decodeLoads(message["loads"])
                     : absl::StatusOr<RelayedLoads>(makeError(ErrorCode::JsonInvalid, "no object"));
-    if (!vm.ok() || !entry.ok() || !sequence.ok() || !loads.ok()) {
+    const absl::StatusOr<std::vector<LeavingTarget>> leaving =
+            message.isObject() ? decodeLeaving(message["leaving"])
+                               : absl::StatusOr<std::vector<LeavingTarget>>(
+                                       makeError(ErrorCode::JsonInvalid, "no object"));
+    if (!vm.ok() || !entry.ok() || !sequence.ok() || !loads.ok() || !leaving.ok()) {
         logLine(LogPart::Peers, LogLevel::Warning, "A peer's loads can't be read.");
         return;
     }
     m_roster.update(VmId(*vm), *entry);
     m_placer.takePeerLoads(VmId(*vm), entry->incarnation, *sequence, std::move(*loads),
                            m_timers.now());
+    for (const LeavingTarget &target : *leaving)
+        m_hooks.onLeaving(target);
 }
 
 Json::Value encodeCatalogNote(const CatalogNote &note)
@@ -185,6 +192,32 @@
     return rows;
 }
 
+Json::Value encodeLeaving(const std::vector<LeavingTarget> &targets)
+{
+    Json::Value rows(Json::arrayValue);
+    for (const LeavingTarget &target : targets) {
+        Json::Value row(Json::arrayValue);
+        row.append(target.id.text());
+        row.append(Json::UInt64(target.startedAt));
+        rows.append(std::move(row));
+    }
+    return rows;
+}
+
+absl::StatusOr<std::vector<LeavingTarget>> decodeLeaving(const Json::Value &json)
+{
+    constexpr Json::ArrayIndex RowSize = 2;
+    if (!json.isNull() && !json.isArray())
+        return makeError(ErrorCode::JsonInvalid, "targets that leave are no list");
+    std::vector<LeavingTarget> targets;
+    for (const Json::Value &row : json) {
+        if (!row.isArray() || row.size() != RowSize || !row[0].isString() || !row[1].isUInt64())
+            return makeError(ErrorCode::JsonInvalid, "a target that leaves is malformed");
+        targets.push_back({TargetId(row[0].asString()), row[1].asUInt64()});
+    }
+    return targets;
+}
+
 absl::StatusOr<RelayedLoads> decodeLoads(const Json::Value &json)
 {
     constexpr Json::ArrayIndex RowSize = 4;
--- a/src/daemon/loadexchange.h
+++ b/src/daemon/loadexchange.h
@@ -16,7 +16,8 @@
 };
 
 /// Tells the nodes in the zone of each target what this node has in progress there, soon after it
-/// changes and again before they would forget it. Each answer tells what the peer
+/// changes and again before they would forget it, and which targets it has heard are leaving. Each
+/// answer tells what the peer
 /// knows of the catalogue, so that a node which can't read the store learns it from those that can.
 class LoadExchange
 {
@@ -27,6 +28,8 @@
         /// A peer's note; what it says was true at \a sentAt or later.
         std::function<void(const RosterEntry &peer, const CatalogNote &note, TimePoint sentAt)>
                 onCatalogNote;
+        /// A peer has heard that a target is leaving.
+        std::function<void(const LeavingTarget &)> onLeaving;
     };
 
     LoadExchange(VmId vm, RosterEntry self, PeerLink &peers, EntryRoster &roster,
@@ -71,6 +74,10 @@
 Json::Value encodeLoads(const RelayedLoads &loads);
 /// Fails with JsonInvalid.
 absl::StatusOr<RelayedLoads> decodeLoads(const Json::Value &json);
+/// Encodes rows of target and start.
+Json::Value encodeLeaving(const std::vector<LeavingTarget> &targets);
+/// Null stands for none. Fails with JsonInvalid.
+absl::StatusOr<std::vector<LeavingTarget>> decodeLeaving(const Json::Value &json);
 
 } // namespace currantwalk
 
--- a/src/daemon/tests/loadexchangetest.cpp
+++ b/src/daemon/tests/loadexchangetest.cpp
@@ -53,7 +53,8 @@
                     [this](const RosterEntry &, const CatalogNote &note, TimePoint sentAt) {
                         notes.push_back(note);
                         noteSentAt = sentAt;
-                    }},
+                    },
+                    [this](const LeavingTarget &target) { targets.takeNews(target); }},
                    bench.loop->timers())
     {
         TargetEntry entry;
@@ -108,6 +109,40 @@
                   1e-9);
 }
 
+// Answers stores that are away for some nodes, while targets leave within two seconds of a notice.
+TEST(LoadExchange, aPeerHearsOfTargetsThatAreLeaving)
+{
+    asking.targets.markLeaving(TargetId("t"));
+    asking.exchange.start();
+    CHECK(bench.runUntil(
+            [this] { return asked.targets.find(TargetId("t"))->phase == TargetPhase::Leaving; }));
+}
+
+TEST(LoadExchange, anotherStartOfATargetIsNotMeant)
+{
+    TargetEntry entry = asked.targets.find(TargetId("t"))->entry;
+    entry.startedAt = 77;
+    asked.targets.update(TargetId("t"), entry);
+    asking.targets.markLeaving(TargetId("t"));
+    asking.exchange.start();
+    CHECK(bench.runUntil([this] { return !asking.notes.empty(); }));
+    CHECK(asked.targets.find(TargetId("t"))->phase == TargetPhase::Ready);
+}
+
+TEST(PeerMessages, targetsThatLeaveAreReadAsTheyWereWritten)
+{
+    const absl::StatusOr<std::vector<LeavingTarget>> read =
+            decodeLeaving(encodeLeaving({{TargetId("a"), 7}, {TargetId("b"), 0}}));
+    LONGS_EQUAL(2, read->size());
+    STRCMP_EQUAL("a", (*read)[0].id.text().c_str());
+    LONGS_EQUAL(7, (*read)[0].startedAt);
+    CHECK(decodeLeaving(Json::Value())->empty());
+    CHECK(!decodeLeaving(Json::Value("x")).ok());
+    Json::Value rows(Json::arrayValue);
+    rows.append(Json::Value(Json::arrayValue));
+    CHECK(!decodeLeaving(rows).ok());
+}
+
 // A node that started while the store was away has no roster.
 TEST(LoadExchange, aPeerIsLearntFromItsMessage)
 {
--- a/src/targets/servicetargets.cpp
+++ b/src/targets/servicetargets.cpp
@@ -29,7 +29,7 @@
         m_hooks.onLeaving(known->second);
     if (known == m_targets.end() || isRestart) {
         ServiceTarget &target = m_targets[id];
-        target = {id, entry, TargetPhase::Ready, now, now + entry.coldFor};
+        target = {id, entry, TargetPhase::Ready, now, now + entry.coldFor, entry.isLeaving};
         if (entry.isLeaving)
             leave(target);
         return;
@@ -39,6 +39,7 @@
     if (target.phase == TargetPhase::Leaving)
         return;
     if (entry.isLeaving) {
+        target.isLeavingTold = true;
         leave(target);
         return;
     }
@@ -74,8 +75,32 @@
 void ServiceTargets::markLeaving(const TargetId &id)
 {
     const auto known = m_targets.find(id);
-    if (known != m_targets.end() && known->second.phase != TargetPhase::Leaving)
-        leave(known->second);
+    if (known == m_targets.end() || known->second.phase == TargetPhase::Leaving)
+        return;
+    known->second.isLeavingTold = true;
+    leave(known->second);
+}
+
+// Another start under the same id is not meant.
+void ServiceTargets::takeNews(const LeavingTarget &news)
+{
+    const auto known = m_targets.find(news.id);
+    if (known != m_targets.end() && known->second.entry.startedAt == news.startedAt)
+        markLeaving(news.id);
+}
+
+// An entry that is merely gone may have lapsed, which each node judges by what it knows of the
+// store.
+std::vector<LeavingTarget> ServiceTargets::leavingNews() const
+{
+    std::vector<LeavingTarget> news;
+    const TimePoint now = m_timers.now();
+    for (const auto &[id, target] : m_targets) {
+        const bool isRecent = now - target.phaseSince < m_options.leavingNews;
+        if (target.phase == TargetPhase::Leaving && target.isLeavingTold && isRecent)
+            news.push_back({id, target.entry.startedAt});
+    }
+    return news;
 }
 
 void ServiceTargets::leave(ServiceTarget &target)
--- a/src/targets/servicetargets.h
+++ b/src/targets/servicetargets.h
@@ -44,6 +44,14 @@
     TargetPhase phase = TargetPhase::Ready;
     TimePoint phaseSince{};
     TimePoint coldUntil{};
+    bool isLeavingTold = false; ///< It has said that it is leaving; its entry is not just gone.
+};
+
+/// One start of a target that has said it is leaving.
+struct LeavingTarget
+{
+    TargetId id;
+    std::uint64_t startedAt = 0; ///< Unix milliseconds; 0 where not told.
 };
 
 /// The targets of all services, from their entries in the store.
@@ -57,6 +65,9 @@
         Duration lapseGrace = std::chrono::milliseconds(2000);
         /// Entries that go this soon after the store's return count as expired during its absence.
         Duration lapseWindow = std::chrono::milliseconds(2500);
+        /// How long peers are told of a target that leaves. It is gone within two seconds or so,
+        /// and a message may be lost.
+        Duration leavingNews = std::chrono::milliseconds(3000);
         /// How long a target that leaves is remembered, since its last requests go on there.
         Duration leavingMemory = std::chrono::seconds(30);
     };
@@ -80,6 +91,10 @@
     void storeRegained();
     /// The target itself, or one that is where it was, has said that it is leaving or another.
     void markLeaving(const TargetId &id);
+    /// A peer has heard that this start of a target is leaving.
+    void takeNews(const LeavingTarget &news);
+    /// Returns the targets that have said of late that they are leaving.
+    std::vector<LeavingTarget> leavingNews() const;
     /// Drops what is no longer remembered; to be called now and then.
     void expire();
 
--- a/src/targets/tests/servicetargetstest.cpp
+++ b/src/targets/tests/servicetargetstest.cpp
@@ -56,6 +56,30 @@
     LONGS_EQUAL(1, usable());
 }
 
+// Each node judges an entry that is gone by itself; what a target has said holds for all.
+TEST(ServiceTargets, peersAreToldOnlyWhatATargetHasSaidOfItself)
+{
+    targets.update(TargetId("gone"), entry());
+    targets.remove(TargetId("gone"));
+    CHECK(targets.leavingNews().empty());
+    targets.update(TargetId("a"), entry(true, 7));
+    LONGS_EQUAL(1, targets.leavingNews().size());
+    LONGS_EQUAL(7, targets.leavingNews()[0].startedAt);
+    timers.advance(5s);
+    CHECK(targets.leavingNews().empty());
+}
+
+TEST(ServiceTargets, newsOfATargetHoldsForThatStartOnly)
+{
+    targets.update(TargetId("a"), entry(false, 2));
+    targets.takeNews({TargetId("a"), 1});
+    targets.takeNews({TargetId("unknown"), 1});
+    LONGS_EQUAL(1, usable());
+    targets.takeNews({TargetId("a"), 2});
+    LONGS_EQUAL(0, usable());
+    LONGS_EQUAL(1, targets.leavingNews().size());
+}
+
 TEST(ServiceTargets, aRestartUnderTheSameIdEndsWhatRanThere)
 {
     targets.update(TargetId("a"), entry());
