--- a/src/routing/relayplacer.h
+++ b/src/routing/relayplacer.h
@@ -51,9 +51,10 @@
         /// Load added to a target that is still slow after its start, in requests.
         double coldPenalty = 2.0;
         /// Part of a target's memory that may be taken, by expectation, with copies among it. What
-        /// runs must find room: it would be preempted, and read again.
-        double backupShare = 0.3;
-        double otherZoneBackupShare = 0.5;
+        /// runs must find room: it would be preempted, and read again. Figures of several shares
+        /// are in docs/design/platform.md.
+        double backupShare = 0.3;          ///< For a generation in the node's own zone.
+        double otherZoneBackupShare = 0.5; ///< For one that a cut between zones parts from it.
         /// How long a peer's loads are taken into account without a newer message.
         Duration peerLoadLifetime = std::chrono::milliseconds(1500);
     };
