--- a/src/cli/logcommands.cpp
+++ b/src/cli/logcommands.cpp
@@ -29,7 +29,7 @@
     return logs;
 }
 
-static Json::Value recordJson(const LogRecord &record)
+static Json::Value recordJson(const LoggedLine &record)
 {
     Json::Value json(Json::objectValue);
     json["time"] = record.time;
@@ -54,7 +54,7 @@
     answer["cause"] = story->cause;
     answer["lines"] = Json::Value(Json::arrayValue);
     std::string text;
-    for (const LogRecord &record : story->records) {
+    for (const LoggedLine &record : story->records) {
         answer["lines"].append(recordJson(record));
         text += record.time + "  " + record.source + "  "
                 + (record.request.empty() ? "  (" + std::string(logPartName(record.part)) + ") "
--- a/src/daemon/tests/entrynodetest.cpp
+++ b/src/daemon/tests/entrynodetest.cpp
@@ -339,7 +339,7 @@
             "Refused: no-route status=404", "Refused: unknown-key status=401",
             "Request ended: done",          "Request ended: unknown",
             "Request ended: broken-off",    "Refused: stale-keys status=503"};
-    for (const LogRecord &logged : logs.records) {
+    for (const LoggedLine &logged : logs.records) {
         if (!logged.request.empty() && !reasons.empty()
             && logged.message.compare(0, reasons.front().size(), reasons.front()) == 0)
             reasons.erase(reasons.begin());
--- a/src/observe/logstory.cpp
+++ b/src/observe/logstory.cpp
@@ -97,7 +97,7 @@
     return absl::OkStatus();
 }
 
-absl::StatusOr<LogRecord> parseLogRecord(std::string_view line, const std::string &fileName)
+absl::StatusOr<LoggedLine> parseLoggedLine(std::string_view line, const std::string &fileName)
 {
     const std::size_t begin = line.find('{');
     if (begin == std::string_view::npos)
@@ -123,7 +123,7 @@
     const std::string message = stringMember(*json, "message").value_or("");
     if (message.empty())
         return schemaError("message", "a text");
-    return LogRecord{
+    return LoggedLine{
             sourceOf(line.substr(0, begin), fileName),  paddedTime(time), *level, *part, message,
             stringMember(*json, "request").value_or("")};
 }
@@ -134,7 +134,7 @@
     for (std::size_t number = 1; std::getline(stream, line); ++number) {
         if (trimmed(line).empty())
             continue;
-        absl::StatusOr<LogRecord> record = parseLogRecord(line, fileName);
+        absl::StatusOr<LoggedLine> record = parseLoggedLine(line, fileName);
         if (record.ok())
             records.push_back(*std::move(record));
         else
@@ -161,7 +161,7 @@
     return difference < -Day / 2 ? difference + Day : difference;
 }
 
-static bool isBefore(const LogRecord &left, const LogRecord &right)
+static bool isBefore(const LoggedLine &left, const LoggedLine &right)
 {
     return left.time < right.time;
 }
@@ -172,11 +172,11 @@
 }
 
 // Ids of targets that lines of the part Targets name, as "Target ID is ..." or "The entry ID ...".
-static std::set<std::string> targetsNamedIn(const std::vector<LogRecord> &records,
+static std::set<std::string> targetsNamedIn(const std::vector<LoggedLine> &records,
                                             const std::set<std::string> &known)
 {
     std::set<std::string> named;
-    for (const LogRecord &record : records) {
+    for (const LoggedLine &record : records) {
         for (const std::string &target : known) {
             if (record.message.find(target) != std::string::npos)
                 named.insert(target);
@@ -185,7 +185,7 @@
     return named;
 }
 
-static std::string targetOf(const LogRecord &record)
+static std::string targetOf(const LoggedLine &record)
 {
     constexpr std::string_view Prefix = "Target ";
     if (record.part != LogPart::Targets || !hasPrefix(record.message, Prefix))
@@ -195,7 +195,7 @@
 }
 
 // What a node believes of the store, its peers and itself, rather than of one target.
-static bool isStateOfNode(const LogRecord &record)
+static bool isStateOfNode(const LoggedLine &record)
 {
     switch (record.part) {
     case LogPart::Config:
@@ -211,16 +211,16 @@
 }
 
 // The latest line of each part from before the request, and all while it was in progress.
-static void addStateOfNodes(const LogSet &logs, const LogRecord &first, const LogRecord &last,
-                            const std::set<std::string> &sources, std::vector<LogRecord> &story)
+static void addStateOfNodes(const LogSet &logs, const LoggedLine &first, const LoggedLine &last,
+                            const std::set<std::string> &sources, std::vector<LoggedLine> &story)
 {
-    std::map<std::pair<std::string, LogPart>, LogRecord> latest;
-    for (const LogRecord &record : logs.records) {
+    std::map<std::pair<std::string, LogPart>, LoggedLine> latest;
+    for (const LoggedLine &record : logs.records) {
         if (!record.request.empty() || sources.count(record.source) == 0 || !isStateOfNode(record))
             continue;
         const double before = secondsBetween(record.time, first.time);
         if (before >= 0 && before <= ContextSeconds) {
-            LogRecord &known = latest[{record.source, record.part}];
+            LoggedLine &known = latest[{record.source, record.part}];
             if (known.time <= record.time)
                 known = record;
         } else if (before < 0 && secondsBetween(last.time, record.time) <= 0) {
@@ -232,17 +232,17 @@
 }
 
 // All nodes tell of the same change of a target; the first to know is enough.
-static void addTargets(const LogSet &logs, const LogRecord &first, const LogRecord &last,
-                       std::vector<LogRecord> &story)
+static void addTargets(const LogSet &logs, const LoggedLine &first, const LoggedLine &last,
+                       std::vector<LoggedLine> &story)
 {
     constexpr double AfterEnd = 2; // A target's death is noticed after the streams that it cut off.
     std::set<std::string> known;
-    for (const LogRecord &record : logs.records)
+    for (const LoggedLine &record : logs.records)
         known.insert(targetOf(record));
     known.erase("");
     const std::set<std::string> named = targetsNamedIn(story, known);
-    std::map<std::string, LogRecord> firstTold;
-    for (const LogRecord &record : logs.records) {
+    std::map<std::string, LoggedLine> firstTold;
+    for (const LoggedLine &record : logs.records) {
         const bool isNear = secondsBetween(record.time, first.time) <= ContextSeconds
                             && secondsBetween(last.time, record.time) <= AfterEnd;
         if (named.count(targetOf(record)) == 0 || !isNear)
@@ -255,9 +255,9 @@
         story.push_back(record);
 }
 
-static std::string causeOf(const LogSet &logs, const std::vector<LogRecord> &own)
+static std::string causeOf(const LogSet &logs, const std::vector<LoggedLine> &own)
 {
-    const LogRecord &last = own.back();
+    const LoggedLine &last = own.back();
     for (auto record = own.rbegin(); record != own.rend(); ++record) {
         if (hasPrefix(record->message, RefusedPrefix))
             return "It was refused by " + record->source
@@ -267,7 +267,7 @@
         std::string cause =
                 "It ended at " + record->source + ": " + record->message.substr(EndPrefix.size());
         const auto failure =
-                std::find_if(std::next(record), own.rend(), [](const LogRecord &earlier) {
+                std::find_if(std::next(record), own.rend(), [](const LoggedLine &earlier) {
                     return !hasPrefix(earlier.message, SentPrefix);
                 });
         if (failure != own.rend())
@@ -275,7 +275,7 @@
         return cause;
     }
     const auto restart = std::find_if(
-            logs.records.begin(), logs.records.end(), [&last](const LogRecord &record) {
+            logs.records.begin(), logs.records.end(), [&last](const LoggedLine &record) {
                 const double after = secondsBetween(last.time, record.time);
                 return record.source == last.source && record.part == LogPart::Daemon
                        && hasPrefix(record.message, StartedPrefix) && after >= 0
@@ -290,9 +290,9 @@
 
 absl::StatusOr<RequestStory> tellStory(const LogSet &logs, const std::string &request)
 {
-    std::vector<LogRecord> own;
+    std::vector<LoggedLine> own;
     std::set<std::string> sources;
-    for (const LogRecord &record : logs.records) {
+    for (const LoggedLine &record : logs.records) {
         if (record.request != request)
             continue;
         own.push_back(record);
--- a/src/observe/logstory.h
+++ b/src/observe/logstory.h
@@ -12,7 +12,7 @@
 namespace currantwalk {
 
 /// One line of a daemon's JSON log.
-struct LogRecord
+struct LoggedLine
 {
     std::string source; ///< Tells the VMs apart: what stands before the JSON, else the file's name.
     std::string time;   ///< ISO 8601 in UTC with a fraction; sorts as text.
@@ -24,7 +24,7 @@
 
 /// Reads one line. A collector may have put a word or two before the JSON. Fails with JsonInvalid,
 /// naming the member that does not keep the schema.
-absl::StatusOr<LogRecord> parseLogRecord(std::string_view line, const std::string &fileName);
+absl::StatusOr<LoggedLine> parseLoggedLine(std::string_view line, const std::string &fileName);
 
 /// Lines of several logs.
 struct LogSet
@@ -36,7 +36,7 @@
         absl::Status status;
     };
 
-    std::vector<LogRecord> records;
+    std::vector<LoggedLine> records;
     std::vector<Fault> faults; ///< Lines that do not keep the schema.
 
     void read(std::istream &stream, const std::string &fileName);
@@ -45,8 +45,8 @@
 /// What became of one request, by the logs of the VMs that it met.
 struct RequestStory
 {
-    std::vector<LogRecord> records; ///< About the request and what decided it, in order of time.
-    std::string cause;              ///< One sentence.
+    std::vector<LoggedLine> records; ///< About the request and what decided it, in order of time.
+    std::string cause;               ///< One sentence.
 };
 
 /// Fails with NotFound where no line names \a request.
--- a/src/observe/tests/logstorytest.cpp
+++ b/src/observe/tests/logstorytest.cpp
@@ -33,7 +33,7 @@
         const absl::StatusOr<RequestStory> story = tellStory(logs, request);
         CHECK(story.ok());
         std::string text;
-        for (const LogRecord &record : story->records)
+        for (const LoggedLine &record : story->records)
             text += record.message + "|";
         return text;
     }
