TOML texts are read first without characters that the library's tables lack

Ruled out: the scan for bare characters, which is right that the character stands within quotes. Change: a text is first read with these characters moved to the private planes, one to one; only a sound text is then read as it is. The input is a test, which failed under the fuzzers' sanitizers.

--- a/src/config/tests/objectstest.cpp
+++ b/src/config/tests/objectstest.cpp
@@ -81,6 +81,19 @@
     CHECK_EQUAL(3U, document.lines.at("a/b/x[1]"));
 }
 
+// The library looks at what follows a faulty value; under sanitizers it must not go wrong there.
+TEST(Toml, refusesAFaultyValueBeforeACharacterThatIsNotAscii)
+{
+    for (const char *text :
+         {"-=99[\"9\xEF\xBB\xB1\"vz\"zz=", "a = 1[\"\xC3\xA9\"x", "a = 1[\"\xE3\x81\x82\"x"}) {
+        TomlDocument document;
+        CHECK(parseToml(text, &document).has_value());
+    }
+    TomlDocument document;
+    CHECK(!parseToml("a = \"\xC3\xA9\xEF\xBB\xB1\"", &document).has_value());
+    STRCMP_EQUAL("\xC3\xA9\xEF\xBB\xB1", document.root["a"].asString().c_str());
+}
+
 TEST(Toml, refusesNonAsciiOutsideStringsAndComments)
 {
     TomlDocument document;
--- a/src/config/tomldocument.cpp
+++ b/src/config/tomldocument.cpp
@@ -114,6 +114,43 @@
 
 } // namespace
 
+// Moves each character from U+0080 to U+FFFF to the private planes, one to one. In a malformed text
+// the library asks whether such a character is white space, and its table for that is not complete:
+// what happens then is undefined. Beyond U+FFFF it has no table.
+static std::string withoutBmpCharacters(std::string_view text)
+{
+    constexpr char32_t PrivatePlane = 0xF0000;
+    const auto byteAt = [text](std::size_t i) { return static_cast<unsigned char>(text[i]); };
+    const auto tail = [](char32_t bits) { return static_cast<char>(0x80U | (bits & 0x3FU)); };
+    std::string moved;
+    for (std::size_t i = 0; i < text.size();) {
+        const unsigned char lead = byteAt(i);
+        const std::size_t length = lead < 0x80 ? 1 : lead < 0xE0 ? 2 : lead < 0xF0 ? 3 : 4;
+        if (length == 1 || length == 4) {
+            moved.append(text.substr(i, length));
+        } else {
+            char32_t point = length == 2 ? lead & 0x1FU : lead & 0x0FU;
+            for (std::size_t k = 1; k < length; ++k)
+                point = (point << 6U) | (byteAt(i + k) & 0x3FU);
+            point += PrivatePlane;
+            moved += static_cast<char>(0xF0U | (point >> 18U));
+            moved += tail(point >> 12U);
+            moved += tail(point >> 6U);
+            moved += tail(point);
+        }
+        i += length;
+    }
+    return moved;
+}
+
+static std::optional<TomlFault> findFault(const toml::parse_result &result)
+{
+    if (result)
+        return std::nullopt;
+    const toml::parse_error &error = result.error();
+    return TomlFault{error.source().begin.line, std::string(error.description())};
+}
+
 std::optional<TomlFault> parseToml(std::string_view text, TomlDocument *document)
 {
     if (!isValidUtf8(text))
@@ -122,11 +159,11 @@
     const std::optional<std::uint32_t> line = BareTextScanner(text).firstNonAsciiLine();
     if (line)
         return TomlFault{*line, "a character that is not ASCII outside of strings and comments"};
+    if (const std::optional<TomlFault> fault = findFault(toml::parse(withoutBmpCharacters(text))))
+        return fault;
     const toml::parse_result result = toml::parse(text);
-    if (!result) {
-        const toml::parse_error &error = result.error();
-        return TomlFault{error.source().begin.line, std::string(error.description())};
-    }
+    if (const std::optional<TomlFault> fault = findFault(result))
+        return fault;
     document->root = TreeConverter(document).table(result.table(), {});
     return std::nullopt;
 }
