One parser of whole numbers, one capture of logs for tests

Change: parseNumber in base, LogCapture beside the tests of observe, startStream in the fixture; no check was changed. Left: tables of enum names and error tables alike by shape only.

--- a/src/calls/eventsplitter.cpp
+++ b/src/calls/eventsplitter.cpp
@@ -1,6 +1,6 @@
 #include "calls/eventsplitter.h"
 
-#include <charconv>
+#include "base/numbertext.h"
 
 namespace currantwalk {
 
@@ -37,10 +37,7 @@
             content.remove_prefix(1);
         if (!content.empty() && content.back() == '\r')
             content.remove_suffix(1);
-        std::uint64_t number = 0;
-        const char *const last = content.data() + content.size();
-        const std::from_chars_result result = std::from_chars(content.data(), last, number);
-        if (result.ec == std::errc() && result.ptr == last)
+        if (const std::optional<std::uint64_t> number = parseNumber(content))
             return number;
     }
     return std::nullopt;
--- a/src/daemon/tests/entrynodetest.cpp
+++ b/src/daemon/tests/entrynodetest.cpp
@@ -1,17 +1,12 @@
-#include <fcntl.h>
-#include <unistd.h>
-
-#include <array>
 #include <deque>
 #include <map>
-#include <sstream>
 #include <string>
 #include <vector>
 
 #include "base/json.h"
 #include "daemon/entrynode.h"
 #include "net/tests/looptesting.h"
-#include "observe/logstory.h"
+#include "observe/tests/logcapture.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -200,6 +195,17 @@
         CHECK(targetBench.runUntil([&] { return targetBench.exchanges.size() > index; }));
         return targetBench.exchanges[index];
     }
+
+    /// Sends a request for a stream, whose target gets it as the exchange \a index and sends one
+    /// event.
+    std::shared_ptr<HttpExchange> startStream(std::size_t index)
+    {
+        send("/s/x");
+        const std::shared_ptr<HttpExchange> source = arrival(index);
+        source->start({200, {}});
+        source->write("id: 1\ndata: x\n\n");
+        return source;
+    }
 };
 
 TEST(EntryNode, isReadyOnlyOnceCatalogueAndTargetsAreKnown)
@@ -261,10 +267,7 @@
 TEST(EntryNode, aStreamIsMovedThoughItsKeysProofHasGrownOld)
 {
     startServing();
-    send("/s/x");
-    const auto source = arrival(0);
-    source->start({200, {}});
-    source->write("id: 1\ndata: x\n\n");
+    const auto source = startStream(0);
     append(targetsTopic, "t2", targetBench.server.toString());
     CHECK(targetBench.runUntil([this] { return !node->isReady(); }));
     append(targetsTopic, "t1", "leaving " + targetBench.server.toString());
@@ -282,10 +285,7 @@
 TEST(EntryNode, aStreamIsNotMovedOnceItsKeyIsRevoked)
 {
     startServing();
-    send("/s/x");
-    const auto source = arrival(0);
-    source->start({200, {}});
-    source->write("id: 1\ndata: x\n\n");
+    const auto source = startStream(0);
     append(targetsTopic, "t2", targetBench.server.toString());
     append(catalogTopic, "config", "2");
     append(targetsTopic, "t1", "leaving " + targetBench.server.toString());
@@ -299,10 +299,7 @@
 // Each end of a request that its caller may ask about is in the logs.
 TEST(EntryNode, whatIsNotServedHasALineWithItsReason)
 {
-    std::array<int, 2> ends{};
-    LONGS_EQUAL(0, pipe2(ends.data(), O_NONBLOCK));
-    initBoundedLogging(ends[1], LogLevel::Info,
-                       [this] { return targetBench.loop->timers().now(); });
+    LogCapture capture([this] { return targetBench.loop->timers().now(); });
     startServing();
     send("/z/x");
     LONGS_EQUAL(404, answer());
@@ -314,9 +311,7 @@
     send("/a/x");
     arrival(1)->abort();
     LONGS_EQUAL(502, answer());
-    send("/s/x");
-    arrival(2)->start({200, {}});
-    targetBench.exchanges[2]->write("id: 1\ndata: x\n\n");
+    startStream(2);
     CHECK(targetBench.runUntil([this] { return !record.body.empty(); }));
     targetBench.exchanges[2]->abort();
     CHECK(targetBench.runUntil([this] { return record.status.has_value(); }));
@@ -324,16 +319,7 @@
     send("/a/x");
     LONGS_EQUAL(503, answer());
     node->beginDrain();
-    initLogging(LogFormat::Text, LogLevel::Error);
-    close(ends[1]);
-    std::string text;
-    std::array<char, 4096> part{};
-    for (ssize_t size = 0; (size = read(ends[0], part.data(), part.size())) > 0;)
-        text.append(part.data(), static_cast<std::size_t>(size));
-    close(ends[0]);
-    LogSet logs;
-    std::istringstream stream(text);
-    logs.read(stream, "n");
+    const LogSet logs = capture.finish();
     CHECK(logs.faults.empty());
     std::vector<std::string> reasons{
             "Refused: no-route status=404", "Refused: unknown-key status=401",
--- a/src/observe/tests/logstorytest.cpp
+++ b/src/observe/tests/logstorytest.cpp
@@ -1,10 +1,6 @@
-#include <fcntl.h>
-#include <unistd.h>
-
-#include <array>
 #include <sstream>
 
-#include "observe/logstory.h"
+#include "observe/tests/logcapture.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -117,22 +113,13 @@
 // What the process writes keeps the schema, the line that counts lost lines too.
 TEST(LogStory, boundedLogsKeepTheSchemaThoughTheReaderStalls)
 {
-    std::array<int, 2> ends{};
-    LONGS_EQUAL(0, pipe2(ends.data(), O_NONBLOCK));
     TimePoint now{};
-    initBoundedLogging(ends[1], LogLevel::Info, [&now] { return now; });
+    LogCapture capture([&now] { return now; });
     for (int i = 0; i < 2000; ++i)
         logRequest(LogPart::Calls, LogLevel::Info, "r" + std::to_string(i), "Request ended: done");
     now += std::chrono::seconds(5);
     logLine(LogPart::Daemon, LogLevel::Info, "Later.");
-    initLogging(LogFormat::Text, LogLevel::Error);
-    close(ends[1]);
-    std::string text;
-    std::array<char, 4096> part{};
-    for (ssize_t size = 0; (size = ::read(ends[0], part.data(), part.size())) > 0;)
-        text.append(part.data(), static_cast<std::size_t>(size));
-    close(ends[0]);
-    read(text);
+    logs = capture.finish();
     CHECK(logs.faults.empty());
     CHECK(logs.records.size() >= 400);
     CHECK(logs.records.size() < 500);
--- a/src/standin/replies.cpp
+++ b/src/standin/replies.cpp
@@ -1,7 +1,5 @@
 #include "standin/replies.h"
 
-#include <charconv>
-
 #include "base/json.h"
 
 namespace currantwalk::standin {
@@ -56,14 +54,4 @@
     return fallback;
 }
 
-std::optional<std::uint64_t> parseNumber(std::string_view text)
-{
-    std::uint64_t value = 0;
-    const char *end = text.data() + text.size();
-    const std::from_chars_result result = std::from_chars(text.data(), end, value);
-    if (text.empty() || result.ec != std::errc() || result.ptr != end)
-        return std::nullopt;
-    return value;
-}
-
 } // namespace currantwalk::standin
--- a/src/standin/replies.h
+++ b/src/standin/replies.h
@@ -10,6 +10,7 @@
 #include <json/value.h>
 
 #include "base/error.h"
+#include "base/numbertext.h"
 #include "net/http.h"
 
 namespace currantwalk::standin {
@@ -30,9 +31,6 @@
     std::uint64_t number(std::string_view name, std::uint64_t fallback) const;
 };
 
-/// Returns the whole number that \a text is, or nothing.
-std::optional<std::uint64_t> parseNumber(std::string_view text);
-
 } // namespace currantwalk::standin
 
 #endif // CURRANTWALK_STANDIN_REPLIES_H
