Relayed requests that crash their targets are refused by the node that saw it

What callers saw: each arrival of a request that crashes its servers ended one more of them, with the answers of all others that ran there.

Cause: the relayed path forgot a request with its attempt; only generations of the own interface were known to PoisonTracker.

Change: a relayed request is known by method, path, organisation and body. A connection lost after the request was sent counts as the death of that start of the target, unless the target is leaving. The target accepted a connection right before, which is the sign of life that PoisonTracker asks for. After two deaths the request is answered 503 at once, with Retry-After; no further target of its attempt gets it, and its stream neither moves nor goes on from a copy. A target that had answered for a second before it was lost counts half: crashes come early, and the streams of neighbours are long. The status is 503, which says 'not run': a 4xx would turn away for good a caller whose targets died of something else.

The failure line of a send and the line of the refusal carry the fingerprint.

--- a/src/calls/poisontracker.cpp
+++ b/src/calls/poisontracker.cpp
@@ -1,17 +1,32 @@
 #include "calls/poisontracker.h"
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
+#include <optional>
 #include <tuple>
 #include <unordered_map>
 #include <utility>
 
+#include "base/enumtable.h"
+
 namespace currantwalk {
 
-static constexpr std::size_t MinDeathsToRefuse = 2;
+static constexpr std::array<EnumName<Suspicion>, 3> SuspicionNames{{
+        {Suspicion::None, "none"},
+        {Suspicion::Suspect, "suspect"},
+        {Suspicion::Refused, "refused"},
+}};
+
+// A crash mostly comes soon after the start, so a death long after it is weaker evidence.
+static constexpr std::uint32_t DeathWeight = 2;
+static constexpr std::uint32_t LateDeathWeight = 1;
+static constexpr std::uint32_t MinWeightToRefuse = 2 * DeathWeight;
+static constexpr Duration EarlyPeriod = std::chrono::seconds(1);
 static constexpr Duration SuspicionLifetime = std::chrono::minutes(10);
 static constexpr Duration RefusalLifetime = std::chrono::hours(1);
 // Limit the memory and the messages that a flood of distinct requests can use.
+static constexpr std::size_t MaxSubjectBytes = 120;
 static constexpr std::size_t MaxEntries = 10000;
 static constexpr std::size_t MaxReportsPerDeath = 32;
 
@@ -22,12 +37,14 @@
     TargetId target;
     Incarnation incarnation = 0;
     bool hasStarted = false;
+    bool wasAnswering = false;
 };
 
 struct Record
 {
     std::vector<Death> deaths;
     TimePoint lastDeathAt{};
+    std::string subject;
 };
 
 struct Run
@@ -36,6 +53,8 @@
     Incarnation incarnation = 0;
     bool hasStarted = false;
     TimePoint startedAt{};
+    std::optional<TimePoint> answeringSince;
+    std::string subject;
 };
 
 class PoisonTable : public PoisonTracker
@@ -47,10 +66,14 @@
     }
 
     Suspicion suspicion(std::uint64_t fingerprint) const override;
+    std::vector<TargetId> deaths(std::uint64_t fingerprint) const override;
     void onSent(std::uint64_t fingerprint, const TargetId &target,
                 Incarnation incarnation) override;
     void onRunning(std::uint64_t fingerprint, const TargetId &target,
                    Incarnation incarnation) override;
+    void onAnswering(std::uint64_t fingerprint, const TargetId &target) override;
+    void setSubject(std::uint64_t fingerprint, const TargetId &target,
+                    std::string subject) override;
     void onReleased(std::uint64_t fingerprint, const TargetId &target, bool isComplete) override;
     void onLost(std::uint64_t fingerprint, const TargetId &target,
                 Incarnation incarnation) override;
@@ -61,8 +84,11 @@
 
 private:
     bool isExpired(const Record &record) const;
-    bool recordDeath(std::uint64_t fingerprint, const Death &death);
+    bool wasAnswering(const Run &run) const;
+    PoisonReport reportOf(const Run &run, const TargetId &target, std::size_t running) const;
+    bool recordDeath(const PoisonReport &report);
     void evictRecords();
+    Run *findRun(std::uint64_t fingerprint, const TargetId &target);
     Run &findOrAddRun(std::uint64_t fingerprint, const TargetId &target);
     std::vector<Run> takeRuns(const TargetId &target, Incarnation incarnation);
 
@@ -79,10 +105,18 @@
 // targets that have given one.
 static Suspicion suspicionOf(const Record &record)
 {
-    const bool isConfirmed = std::any_of(record.deaths.begin(), record.deaths.end(),
-                                         [](const Death &death) { return death.hasStarted; });
-    return isConfirmed && record.deaths.size() >= MinDeathsToRefuse ? Suspicion::Refused
-                                                                    : Suspicion::Suspect;
+    std::uint32_t weight = 0;
+    bool isConfirmed = false;
+    for (const Death &death : record.deaths) {
+        weight += death.wasAnswering ? LateDeathWeight : DeathWeight;
+        isConfirmed = isConfirmed || death.hasStarted;
+    }
+    return isConfirmed && weight >= MinWeightToRefuse ? Suspicion::Refused : Suspicion::Suspect;
+}
+
+std::string_view suspicionName(Suspicion suspicion)
+{
+    return enumName(SuspicionNames, suspicion);
 }
 
 std::unique_ptr<PoisonTracker>
@@ -106,6 +140,20 @@
     return suspicionOf(it->second);
 }
 
+static std::vector<TargetId> targetsOf(const Record &record)
+{
+    std::vector<TargetId> targets;
+    for (const Death &death : record.deaths)
+        targets.push_back(death.target);
+    return targets;
+}
+
+std::vector<TargetId> PoisonTable::deaths(std::uint64_t fingerprint) const
+{
+    const auto it = m_records.find(fingerprint);
+    return it == m_records.end() ? std::vector<TargetId>() : targetsOf(it->second);
+}
+
 void PoisonTable::onRunning(std::uint64_t fingerprint, const TargetId &target,
                             Incarnation incarnation)
 {
@@ -114,15 +162,61 @@
     run.hasStarted = true;
 }
 
+Run *PoisonTable::findRun(std::uint64_t fingerprint, const TargetId &target)
+{
+    const auto runs = m_runs.find(target);
+    if (runs == m_runs.end())
+        return nullptr;
+    const auto run =
+            std::find_if(runs->second.begin(), runs->second.end(), [fingerprint](const Run &each) {
+                return each.fingerprint == fingerprint;
+            });
+    return run == runs->second.end() ? nullptr : &*run;
+}
+
 Run &PoisonTable::findOrAddRun(std::uint64_t fingerprint, const TargetId &target)
 {
-    std::vector<Run> &runs = m_runs[target];
-    const auto known = std::find_if(runs.begin(), runs.end(), [fingerprint](const Run &run) {
-        return run.fingerprint == fingerprint;
-    });
-    if (known != runs.end())
+    if (Run *const known = findRun(fingerprint, target))
         return *known;
-    return runs.emplace_back(Run{fingerprint, 0, false, m_timers.now()});
+    Run run;
+    run.fingerprint = fingerprint;
+    run.startedAt = m_timers.now();
+    return m_runs[target].emplace_back(std::move(run));
+}
+
+void PoisonTable::onAnswering(std::uint64_t fingerprint, const TargetId &target)
+{
+    Run *const run = findRun(fingerprint, target);
+    if (run && !run->answeringSince)
+        run->answeringSince = m_timers.now();
+}
+
+void PoisonTable::setSubject(std::uint64_t fingerprint, const TargetId &target, std::string subject)
+{
+    Run *const run = findRun(fingerprint, target);
+    if (!run)
+        return;
+    subject.resize(std::min(subject.size(), MaxSubjectBytes));
+    run->subject = std::move(subject);
+}
+
+bool PoisonTable::wasAnswering(const Run &run) const
+{
+    return run.answeringSince && m_timers.now() - *run.answeringSince >= EarlyPeriod;
+}
+
+PoisonReport PoisonTable::reportOf(const Run &run, const TargetId &target,
+                                   std::size_t running) const
+{
+    PoisonReport report;
+    report.fingerprint = run.fingerprint;
+    report.target = target;
+    report.incarnation = run.incarnation;
+    report.concurrentRequests = static_cast<std::uint32_t>(running > 0 ? running - 1 : 0);
+    report.hasStarted = run.hasStarted;
+    report.wasAnswering = wasAnswering(run);
+    report.subject = run.subject;
+    return report;
 }
 
 void PoisonTable::onSent(std::uint64_t fingerprint, const TargetId &target, Incarnation incarnation)
@@ -179,15 +273,12 @@
 {
     const auto runs = m_runs.find(target);
     const std::size_t running = runs == m_runs.end() ? 0 : runs->second.size();
-    const bool hasStarted =
-            runs != m_runs.end()
-            && std::any_of(runs->second.begin(), runs->second.end(), [fingerprint](const Run &run) {
-                   return run.fingerprint == fingerprint && run.hasStarted;
-               });
-    if (!recordDeath(fingerprint, Death{target, incarnation, hasStarted}))
-        return;
-    const auto neighbours = static_cast<std::uint32_t>(running > 0 ? running - 1 : 0);
-    m_announce(PoisonReport{fingerprint, target, incarnation, neighbours, hasStarted});
+    const Run *const run = findRun(fingerprint, target);
+    PoisonReport report = reportOf(run ? *run : Run{}, target, running);
+    report.fingerprint = fingerprint;
+    report.incarnation = incarnation;
+    if (recordDeath(report))
+        m_announce(report);
 }
 
 void PoisonTable::onTargetDied(const TargetId &target, Incarnation incarnation)
@@ -195,30 +286,29 @@
     const std::vector<Run> runs = takeRuns(target, incarnation);
     std::size_t reports = 0;
     for (const Run &run : runs) {
-        const bool isNew =
-                recordDeath(run.fingerprint, Death{target, run.incarnation, run.hasStarted});
-        if (!isNew || ++reports > MaxReportsPerDeath)
-            continue;
-        const auto neighbours = static_cast<std::uint32_t>(runs.size() - 1);
-        m_announce(
-                PoisonReport{run.fingerprint, target, run.incarnation, neighbours, run.hasStarted});
+        const PoisonReport report = reportOf(run, target, runs.size());
+        if (recordDeath(report) && ++reports <= MaxReportsPerDeath)
+            m_announce(report);
     }
 }
 
 void PoisonTable::onReport(const PoisonReport &report)
 {
-    recordDeath(report.fingerprint, Death{report.target, report.incarnation, report.hasStarted});
+    recordDeath(report);
 }
 
 // Each death counts once, however many nodes report it. A later report may confirm that the target
 // had started the request. Returns whether the report added anything.
-bool PoisonTable::recordDeath(std::uint64_t fingerprint, const Death &death)
+bool PoisonTable::recordDeath(const PoisonReport &report)
 {
-    const auto it = m_records.find(fingerprint);
+    const Death death{report.target, report.incarnation, report.hasStarted, report.wasAnswering};
+    const auto it = m_records.find(report.fingerprint);
     if (it != m_records.end() && isExpired(it->second))
         m_records.erase(it);
     evictRecords();
-    Record &record = m_records[fingerprint];
+    Record &record = m_records[report.fingerprint];
+    if (record.subject.empty())
+        record.subject = report.subject.substr(0, MaxSubjectBytes);
     const auto known =
             std::find_if(record.deaths.begin(), record.deaths.end(), [&death](const Death &each) {
                 return each.target == death.target && each.incarnation == death.incarnation;
@@ -257,10 +347,7 @@
     for (const auto &[fingerprint, record] : m_records) {
         if (isExpired(record))
             continue;
-        Entry entry{fingerprint, suspicionOf(record), {}};
-        for (const Death &death : record.deaths)
-            entry.deaths.push_back(death.target);
-        entries.push_back(std::move(entry));
+        entries.push_back({fingerprint, suspicionOf(record), record.subject, targetsOf(record)});
     }
     std::sort(entries.begin(), entries.end(), [](const Entry &left, const Entry &right) {
         return left.fingerprint < right.fingerprint;
--- a/src/calls/poisontracker.h
+++ b/src/calls/poisontracker.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/ids.h"
@@ -15,9 +16,14 @@
 enum class Suspicion {
     None,
     Suspect, ///< Was sent to a target that died; runs alone on a target until it completes.
-    Refused, ///< Two targets died, at least one of them after it had started the request.
+    /// Two targets died, at least one of them after it had started the request. Deaths that came
+    /// long after the start count half.
+    Refused,
 };
 
+/// Returns "none", "suspect" or "refused".
+std::string_view suspicionName(Suspicion suspicion);
+
 /// Reports to other nodes that a target died while it ran a request.
 struct PoisonReport
 {
@@ -27,6 +33,9 @@
     std::uint32_t concurrentRequests = 0; ///< Other requests of this node at the target.
     /// Whether the target is known to have started the request, and so died after that.
     bool hasStarted = true;
+    /// Whether the target had been answering the request for some time.
+    bool wasAnswering = false;
+    std::string subject = {}; ///< Describes the request to operators; may be empty.
 };
 
 /// Detects poisonous requests, which crash the targets that run them.
@@ -37,6 +46,7 @@
     {
         std::uint64_t fingerprint = 0;
         Suspicion suspicion = Suspicion::None;
+        std::string subject;
         std::vector<TargetId> deaths;
     };
 
@@ -47,12 +57,19 @@
     virtual ~PoisonTracker() = default;
 
     virtual Suspicion suspicion(std::uint64_t fingerprint) const = 0;
+    /// Returns the targets that died while they ran the request.
+    virtual std::vector<TargetId> deaths(std::uint64_t fingerprint) const = 0;
     /// Called when the request is sent; the target may be down already.
     virtual void onSent(std::uint64_t fingerprint, const TargetId &target,
                         Incarnation incarnation) = 0;
     /// Called when the target has started the request, or answered right before it was sent.
     virtual void onRunning(std::uint64_t fingerprint, const TargetId &target,
                            Incarnation incarnation) = 0;
+    /// Called when a part of the target's answer to the request arrives.
+    virtual void onAnswering(std::uint64_t fingerprint, const TargetId &target) = 0;
+    /// Sets the text that describes a running request to operators.
+    virtual void setSubject(std::uint64_t fingerprint, const TargetId &target,
+                            std::string subject) = 0;
     /// Called when the request completed, was cancelled or was moved while the target was alive.
     /// Completion clears a suspicion.
     virtual void onReleased(std::uint64_t fingerprint, const TargetId &target, bool isComplete) = 0;
--- a/src/calls/relaycall.cpp
+++ b/src/calls/relaycall.cpp
@@ -276,6 +276,8 @@
     if (!isCurrent(exchange))
         return;
     if (exchange == m_resumeExchange) {
+        if (wasSent && errorCode(status) == ErrorCode::ConnectionLost)
+            m_hooks.reportLost(exchange);
         onResumeFailed(status);
         return;
     }
@@ -296,6 +298,8 @@
     }
     const absl::Status failure =
             status.ok() ? makeError(ErrorCode::ConnectionLost, "the answer is incomplete") : status;
+    if (errorCode(failure) == ErrorCode::ConnectionLost)
+        m_hooks.reportLost(exchange);
     if (m_resumeExchange == 0 && resumeFromBackup(failure))
         return;
     if (m_pendingMove != 0 || m_resumeExchange != 0)
--- a/src/calls/relaycall.h
+++ b/src/calls/relaycall.h
@@ -119,6 +119,9 @@
     std::function<bool()> takeRetry;
     /// Reports the result of a send to \a target.
     std::function<void(const TargetId &target, SendResult service)> report;
+    /// Reports that the connection of \a exchange was lost before the answer was complete, though
+    /// the request had been sent.
+    std::function<void(std::uint64_t exchange)> reportLost;
     /// Chooses the target to which a stream at \a source is moved; nothing if there is none.
     std::function<std::optional<TargetId>(const TargetId &source,
                                           const std::vector<TargetId> &excluded)>
--- a/src/calls/tests/relaycalltest.cpp
+++ b/src/calls/tests/relaycalltest.cpp
@@ -29,6 +29,7 @@
     std::vector<std::pair<std::uint64_t, TargetId>> copies; ///< Move and destination.
     std::vector<StreamCopy> dropped;
     std::vector<TargetId> replaced;
+    std::vector<std::uint64_t> lostExchanges;
     std::string body;
     std::optional<RelayFailure> failure;
     int heads = 0;
@@ -62,6 +63,7 @@
         hooks.fail = [this](const RelayFailure &told) { failure = told; };
         hooks.takeRetry = [this] { return retriesLeft-- > 0; };
         hooks.report = [](const TargetId &, SendResult) {};
+        hooks.reportLost = [this](std::uint64_t exchange) { lostExchanges.push_back(exchange); };
         hooks.chooseMoveTarget = [this](const TargetId &source, std::vector<TargetId> excluded) {
             excluded.push_back(source);
             return isMoveOffered ? pick(excluded) : std::nullopt;
@@ -487,3 +489,25 @@
     call->onBody(sent[0].exchange, event(1));
     LONGS_EQUAL(1, copies.size());
 }
+
+TEST(RelayCall, lostConnectionOfASentRequestIsReported)
+{
+    begin(RetrySemantics::Idempotent, 2);
+    call->onEnd(sent[0].exchange, makeError(ErrorCode::ConnectFailed, "refused"), false);
+    CHECK(lostExchanges.empty());
+    call->onEnd(sent[1].exchange, lost(), true);
+    CHECK_EQUAL(1U, lostExchanges.size());
+    CHECK_EQUAL(sent[1].exchange, lostExchanges[0]);
+    call->onEnd(sent[2].exchange, makeError(ErrorCode::DeadlineExceeded, "late"), true);
+    CHECK_EQUAL(1U, lostExchanges.size());
+}
+
+TEST(RelayCall, lostConnectionOfAResumedStreamIsReported)
+{
+    isBackupOffered = true;
+    beginStream();
+    call->onEnd(sent[0].exchange, lost(), true);
+    call->onEnd(sent[1].exchange, lost(), true);
+    CHECK_EQUAL(2U, lostExchanges.size());
+    CHECK_EQUAL(1, aborts);
+}
--- a/src/config/catalogholder.h
+++ b/src/config/catalogholder.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <optional>
+#include <string_view>
 
 #include "config/servicecatalog.h"
 
@@ -53,6 +54,12 @@
     std::shared_ptr<const ServiceCatalog> catalog;
     const CatalogRoute *route = nullptr;
     const CatalogOrganisation *organisation = nullptr; ///< nullptr for an anonymous request.
+
+    /// Returns the organisation's name; empty for an anonymous request.
+    std::string_view organisationName() const
+    {
+        return organisation ? std::string_view(organisation->name) : std::string_view();
+    }
 };
 
 /// Checks whether a request with \a host, \a path and \a key is admitted. Keys are not accepted on
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "daemon/requestfingerprint.h"
 #include "observe/logging.h"
 
 namespace currantwalk {
@@ -20,6 +21,8 @@
 // Callers refused for want of knowledge reach another node when they come back.
 static constexpr Duration StaleRetryAfter = std::chrono::milliseconds(100);
 static constexpr Duration RefusalJitter = std::chrono::milliseconds(100);
+// By then a target that was taken for dead has been heard of, if it is alive.
+static constexpr Duration PoisonRetryAfter = std::chrono::seconds(2);
 
 static OutlierDetector::Options outlierOptions()
 {
@@ -76,6 +79,7 @@
                 loop.timers()),
       m_placer({}, m_random),
       m_outliers(outlierOptions()),
+      m_poison(PoisonTracker::create(loop.timers(), [](const PoisonReport &) {})),
       m_incarnation(settings.incarnation != 0 ? settings.incarnation : unixMilliseconds()),
       m_roster({}, settings.vm),
       m_peers(loop.client(), loop.timers(), settings.peerKey, false, m_metrics),
@@ -220,6 +224,7 @@
             },
             [this] { return !m_drain->isReady(); },
             [this] { m_loads.onChange(); },
+            *m_poison,
             m_metrics};
 }
 
@@ -284,10 +289,15 @@
                       {413, Duration::zero(), errorName(ErrorCode::RequestTooLarge)});
         return;
     }
+    const std::uint64_t fingerprint = requestFingerprint(request, admitted.organisationName());
+    if (m_poison->suspicion(fingerprint) == Suspicion::Refused) {
+        refusePoisonous(*exchange, caller->id, fingerprint);
+        return;
+    }
     const std::string service = pickService(admitted.route->services, m_random.uniform());
     allowance(service).onRequest(m_loop.timers().now());
     auto session = std::make_unique<RelaySession>(
-            m_services, exchange, std::move(*caller), std::move(admitted), service,
+            m_services, exchange, std::move(*caller), std::move(admitted), service, fingerprint,
             [this](RelaySession *done) { onSessionDone(done); });
     RelaySession *const raw = session.get();
     m_sessions.emplace(raw, std::move(session));
@@ -321,7 +331,7 @@
 
 // Refuses before any placing.
 void EntryNode::refuseRequest(HttpExchange &exchange, const RequestId &id,
-                              const EntryRefusal &refusal)
+                              const EntryRefusal &refusal, const std::string &detail)
 {
     std::string line = "Refused: " + std::string(refusal.reason);
     line += " status=" + std::to_string(refusal.status);
@@ -331,10 +341,27 @@
         const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(*age);
         line += " catalog_age_ms=" + std::to_string(elapsed.count());
     }
+    line += detail;
     logRequest(LogPart::Callers, LogLevel::Info, id.text(), line);
     refuse(exchange, refusal);
 }
 
+// A status of the class 4xx would tell the caller not to come back, also where the targets died of
+// something else.
+void EntryNode::refusePoisonous(HttpExchange &exchange, const RequestId &id,
+                                std::uint64_t fingerprint)
+{
+    std::string detail = " fingerprint=" + fingerprintText(fingerprint) + " deaths=";
+    std::string_view separator;
+    for (const TargetId &target : m_poison->deaths(fingerprint)) {
+        detail += separator;
+        detail += target.text();
+        separator = ",";
+    }
+    refuseRequest(exchange, id, {503, PoisonRetryAfter, errorName(ErrorCode::PoisonousRequest)},
+                  detail);
+}
+
 void EntryNode::refuse(HttpExchange &exchange, EntryRefusal refusal)
 {
     if (refusal.retryAfter > Duration::zero())
--- a/src/daemon/entrynode.h
+++ b/src/daemon/entrynode.h
@@ -57,7 +57,9 @@
     void onSessionDone(RelaySession *session);
     void refuse(HttpExchange &exchange, EntryRefusal refusal);
     void refuseUnadmitted(HttpExchange &exchange, Admission admission, const RequestId &id);
-    void refuseRequest(HttpExchange &exchange, const RequestId &id, const EntryRefusal &refusal);
+    void refuseRequest(HttpExchange &exchange, const RequestId &id, const EntryRefusal &refusal,
+                       const std::string &detail = {});
+    void refusePoisonous(HttpExchange &exchange, const RequestId &id, std::uint64_t fingerprint);
     void onServed(const TargetId &target, SendResult service);
     void askTargets();
     void askTarget(const ServiceTarget &target);
@@ -87,6 +89,7 @@
     ServiceTargets m_targets;
     TargetSelector m_placer;
     OutlierDetector m_outliers;
+    std::unique_ptr<PoisonTracker> m_poison;
     std::map<std::string, NodeRetryBudget> m_allowances;
     const Incarnation m_incarnation;
     NodeDirectory m_roster;
--- a/src/daemon/operatorsapi.cpp
+++ b/src/daemon/operatorsapi.cpp
@@ -198,19 +198,6 @@
     return json;
 }
 
-static const char *suspicionName(Suspicion suspicion)
-{
-    switch (suspicion) {
-    case Suspicion::None:
-        return "none";
-    case Suspicion::Suspect:
-        return "suspect";
-    case Suspicion::Refused:
-        return "refused";
-    }
-    return "unnamed";
-}
-
 absl::StatusOr<Json::Value> OperatorsApi::poison(const Json::Value &)
 {
     Json::Value json(Json::objectValue);
@@ -218,7 +205,7 @@
     for (const PoisonTracker::Entry &entry : m_node.poison().entries()) {
         Json::Value row(Json::objectValue);
         row["fingerprint"] = std::to_string(entry.fingerprint);
-        row["suspicion"] = suspicionName(entry.suspicion);
+        row["suspicion"] = std::string(suspicionName(entry.suspicion));
         row["deaths"] = Json::Value(Json::arrayValue);
         for (const TargetId &target : entry.deaths)
             row["deaths"].append(target.text());
--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "daemon/requestfingerprint.h"
 #include "observe/logging.h"
 
 namespace currantwalk {
@@ -38,12 +39,13 @@
 
 RelaySession::RelaySession(RelayServices &services, std::shared_ptr<HttpExchange> exchange,
                            CallerRequest caller, AdmittedRequest admitted, std::string service,
-                           Done done)
+                           std::uint64_t fingerprint, Done done)
     : m_services(services),
       m_exchange(std::move(exchange)),
       m_caller(std::move(caller)),
       m_admitted(std::move(admitted)),
       m_service(std::move(service)),
+      m_fingerprint(fingerprint),
       m_done(std::move(done)),
       m_arrivedAt(services.timers.now())
 {
@@ -105,6 +107,7 @@
     hooks.forwardHead = [this](std::uint64_t exchange) { forwardHead(exchange); };
     hooks.forwardBody = [this](std::string_view bytes) { forwardBody(bytes); };
     hooks.forwardEnd = [this] {
+        m_services.poison.onReleased(m_fingerprint, m_call->target(), true);
         m_exchange->finish();
         logOutcome("done", "");
     };
@@ -117,6 +120,7 @@
     hooks.report = [this](const TargetId &target, SendResult service) {
         m_services.report(target, service);
     };
+    hooks.reportLost = [this](std::uint64_t exchange) { noteLost(exchange); };
     hooks.reportTargetReplaced = [this](const TargetId &target) {
         m_services.targets.markLeaving(target);
     };
@@ -153,9 +157,38 @@
     return mayUseKey(Duration::max());
 }
 
+bool RelaySession::isPoisonous() const
+{
+    return m_services.poison.suspicion(m_fingerprint) == Suspicion::Refused;
+}
+
+// The target has just accepted the connection, so it is alive when the request is written.
+void RelaySession::noteRunning(std::uint64_t exchange)
+{
+    const TargetExchange &entry = m_exchanges.at(exchange);
+    m_services.poison.onRunning(m_fingerprint, entry.target, entry.incarnation);
+    m_services.poison.setSubject(
+            m_fingerprint, entry.target,
+            describeRequest(m_exchange->request(), m_admitted.organisationName()));
+}
+
+// A target that is leaving closes its connections without being crashed.
+void RelaySession::noteLost(std::uint64_t exchange)
+{
+    const auto it = m_exchanges.find(exchange);
+    if (it == m_exchanges.end())
+        return;
+    const ServiceTarget *const target = m_services.targets.find(it->second.target);
+    const bool isLeaving = !target
+                           || (target->phase == TargetPhase::Leaving
+                               && target->entry.startedAt == it->second.incarnation);
+    if (!isLeaving)
+        m_services.poison.onLost(m_fingerprint, it->second.target, it->second.incarnation);
+}
+
 std::optional<TargetId> RelaySession::place(const std::vector<TargetId> &excluded)
 {
-    if (!mayUseKey(m_services.settings.maxKeyAge))
+    if (!mayUseKey(m_services.settings.maxKeyAge) || isPoisonous())
         return std::nullopt;
     const ServiceTarget *const target =
             m_services.choose(m_service, excluded, m_services.settings.zone, 0);
@@ -169,7 +202,8 @@
 {
     const CatalogService *const service = m_admitted.catalog->findService(m_service);
     const ServiceTarget *const from = m_services.targets.find(source);
-    if (!mayGoOn() || !from || !service || !service->engine || !service->engine->supportsMoves)
+    if (!mayGoOn() || isPoisonous() || !from || !service || !service->engine
+        || !service->engine->supportsMoves)
         return std::nullopt;
     const ServiceTarget *const target =
             m_services.choose(m_service, excluded, from->entry.zone, MoveSpread);
@@ -272,7 +306,7 @@
 std::optional<StreamCopy> RelaySession::findBackup(const TargetId &id) const
 {
     const ServiceTarget *const holder = m_services.targets.find(id);
-    if (!holder || holder->phase == TargetPhase::Leaving || !mayGoOn())
+    if (!holder || holder->phase == TargetPhase::Leaving || !mayGoOn() || isPoisonous())
         return std::nullopt;
     return StreamCopy{id, holder->entry.endpoint, m_caller.id.text(), true};
 }
@@ -290,8 +324,7 @@
     if (holder)
         send.backup = holder->entry.endpoint;
     send.deadline = std::max(m_call->request().deadline - now, Duration::zero());
-    if (m_admitted.organisation)
-        send.organisation = m_admitted.organisation->name;
+    send.organisation = std::string(m_admitted.organisationName());
     const CatalogService *const service = m_admitted.catalog->findService(m_service);
     send.isGeneration = service && service->engine.has_value();
     send.urgency = m_admitted.organisation && m_admitted.organisation->urgency
@@ -311,6 +344,7 @@
         logSend(*target, order);
     TargetExchange &entry = m_exchanges[order.exchange];
     entry.target = id;
+    entry.incarnation = target->entry.startedAt;
     entry.backup = order.backup;
     m_services.placer.onSent(id, load());
     if (entry.backup)
@@ -329,8 +363,11 @@
     hooks.mayWrite = [this, exchange, target, isResumed] {
         const ServiceTarget *const current = m_services.targets.find(target);
         const bool isAllowed = isResumed ? mayGoOn() : mayUseKey(m_services.settings.maxKeyAge);
-        return isAllowed && current && current->phase != TargetPhase::Leaving
-               && m_call->onConnected(exchange);
+        const bool mayWrite = isAllowed && current && current->phase != TargetPhase::Leaving
+                              && m_call->onConnected(exchange);
+        if (mayWrite)
+            noteRunning(exchange);
+        return mayWrite;
     };
     hooks.onHead = [this, exchange](const HttpResponseHead &head) {
         // An exchange that was abandoned in this round of the loop may still report.
@@ -373,6 +410,7 @@
 
 void RelaySession::release(const TargetExchange &exchange)
 {
+    m_services.poison.onReleased(m_fingerprint, exchange.target, false);
     m_services.placer.onEnded(exchange.target, load(), exchange.isWaiting);
     if (exchange.backup)
         m_services.placer.onBackupEnded(*exchange.backup, load());
@@ -385,6 +423,7 @@
     const auto it = m_exchanges.find(exchange);
     if (it == m_exchanges.end() || !std::exchange(it->second.isWaiting, false))
         return;
+    m_services.poison.onAnswering(m_fingerprint, it->second.target);
     m_services.placer.onFirstEvent(it->second.target, load());
     if (load().promptTokens != 0)
         m_services.loadsChanged();
@@ -436,6 +475,8 @@
     } else {
         refusal.status = code == ErrorCode::DeadlineExceeded ? 504 : 502;
     }
+    if (failure.outcome == Outcome::NotRun && isPoisonous())
+        refusal.reason = errorName(ErrorCode::PoisonousRequest);
     m_services.refuse(*m_exchange, refusal);
     logOutcome(outcomeName(failure.outcome), std::string(failure.status.message()));
 }
@@ -463,7 +504,8 @@
 {
     logRequest(LogPart::Calls, LogLevel::Info, m_caller.id.text(),
                "Send to " + target.text() + " failed: " + std::string(status.message())
-                       + (wasSent ? "; it may have run." : "; nothing was written."));
+                       + (wasSent ? "; it may have run." : "; nothing was written.")
+                       + " fingerprint=" + fingerprintText(m_fingerprint));
 }
 
 void RelaySession::countOutcome(std::string_view outcome) const
--- a/src/daemon/relaysession.h
+++ b/src/daemon/relaysession.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 
+#include "calls/poisontracker.h"
 #include "config/catalogholder.h"
 #include "daemon/entrytypes.h"
 #include "net/fetcher.h"
@@ -37,6 +38,7 @@
     std::function<void(HttpExchange &exchange, const EntryRefusal &refusal)> refuse;
     std::function<bool()> isStopping;
     std::function<void()> loadsChanged;
+    PoisonTracker &poison;
     Metrics &metrics;
 };
 
@@ -48,7 +50,8 @@
     using Done = std::function<void(RelaySession *)>;
 
     RelaySession(RelayServices &services, std::shared_ptr<HttpExchange> exchange,
-                 CallerRequest caller, AdmittedRequest admitted, std::string service, Done done);
+                 CallerRequest caller, AdmittedRequest admitted, std::string service,
+                 std::uint64_t fingerprint, Done done);
     ~RelaySession();
     RelaySession(const RelaySession &) = delete;
     RelaySession &operator=(const RelaySession &) = delete;
@@ -65,7 +68,8 @@
         std::unique_ptr<HttpCall> call;
         HttpResponseHead head;
         TargetId target;
-        bool isWaiting = true; ///< No part of the answer has come.
+        Incarnation incarnation = 0; ///< Of the target, as its entry says.
+        bool isWaiting = true;       ///< No part of the answer has come.
         std::optional<TargetId> backup;
     };
 
@@ -74,6 +78,9 @@
     RequestLoad load() const;
     bool mayUseKey(Duration maxAge) const;
     bool mayGoOn() const;
+    bool isPoisonous() const;
+    void noteRunning(std::uint64_t exchange);
+    void noteLost(std::uint64_t exchange);
     std::optional<TargetId> place(const std::vector<TargetId> &excluded);
     std::optional<TargetId> chooseMoveTarget(const TargetId &source,
                                              const std::vector<TargetId> &excluded);
@@ -103,6 +110,7 @@
     const CallerRequest m_caller;
     const AdmittedRequest m_admitted;
     const std::string m_service;
+    const std::uint64_t m_fingerprint;
     const Done m_done;
     const TimePoint m_arrivedAt;
     int m_status = 0; ///< Of the answer that was passed on; 0: none yet.
--- /dev/null
+++ b/src/daemon/requestfingerprint.cpp
@@ -0,0 +1,50 @@
+#include "daemon/requestfingerprint.h"
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+
+#include "base/ids.h"
+
+namespace currantwalk {
+
+static constexpr std::size_t TextDigits = 16;
+
+// Neither headers nor the host take part: a repetition may come with other ones.
+std::uint64_t requestFingerprint(const HttpRequest &request, std::string_view organisation)
+{
+    std::string head = request.method;
+    head += '\n' + request.path + '\n';
+    head += organisation;
+    return stableHash(request.body, stableHash(head));
+}
+
+std::string fingerprintText(std::uint64_t fingerprint)
+{
+    std::array<char, TextDigits + 1> text{};
+    std::snprintf(text.data(), text.size(), "%016llx",
+                  static_cast<unsigned long long>(fingerprint));
+    return text.data();
+}
+
+std::optional<std::uint64_t> parseFingerprint(std::string_view text)
+{
+    constexpr int Hexadecimal = 16;
+    std::uint64_t fingerprint = 0;
+    const char *const end = text.data() + text.size();
+    const std::from_chars_result result =
+            std::from_chars(text.data(), end, fingerprint, Hexadecimal);
+    if (text.size() != TextDigits || result.ec != std::errc() || result.ptr != end)
+        return std::nullopt;
+    return fingerprint;
+}
+
+std::string describeRequest(const HttpRequest &request, std::string_view organisation)
+{
+    std::string text = request.method + ' ' + request.path;
+    if (!organisation.empty())
+        text += " of " + std::string(organisation);
+    return text;
+}
+
+} // namespace currantwalk
--- /dev/null
+++ b/src/daemon/requestfingerprint.h
@@ -0,0 +1,25 @@
+#ifndef CURRANTWALK_DAEMON_REQUESTFINGERPRINT_H
+#define CURRANTWALK_DAEMON_REQUESTFINGERPRINT_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "net/http.h"
+
+namespace currantwalk {
+
+/// Returns a hash that a request of \a organisation has in common with its repetitions, whichever
+/// their ids.
+std::uint64_t requestFingerprint(const HttpRequest &request, std::string_view organisation);
+/// Returns the text of \a fingerprint for logs and records: 16 hexadecimal digits.
+std::string fingerprintText(std::uint64_t fingerprint);
+/// Returns nothing if \a text is not what fingerprintText() writes.
+std::optional<std::uint64_t> parseFingerprint(std::string_view text);
+/// Describes a request to operators by its method, path and organisation.
+std::string describeRequest(const HttpRequest &request, std::string_view organisation);
+
+} // namespace currantwalk
+
+#endif // CURRANTWALK_DAEMON_REQUESTFINGERPRINT_H
