Nodes share what they know of requests that crash their targets

What callers saw: with each node keeping its own account, a request ended two servers for each node that it came to: 14 at seven nodes.

Cause, and class of fault: a bound that is meant for the whole deployment was kept by each process, in memory that starts empty.

Change: PoisonExchange. A death is sent at once, to all nodes where there are few, else to the own zone and to two nodes of each other zone, which pass it on within theirs. Every 5 s a node compares what it knows with one random other, so that who missed the news, or started later, learns it without the store. A refused request is recorded in the nodes' topic of the store (a key for each, at most 256), which all nodes follow already; a starting node reads the topic before it says that it is ready. Deleting the record clears the request on all nodes; clearings have a time, so that late reports of earlier deaths don't bring it back. Reports carry their age, so that passing them on does not prolong a suspicion.

Two new tests stay red: servers that fall silent in place of resetting their connections are not noticed.

--- a/src/calls/poisontracker.cpp
+++ b/src/calls/poisontracker.cpp
@@ -28,6 +28,7 @@
 // Limit the memory and the messages that a flood of distinct requests can use.
 static constexpr std::size_t MaxSubjectBytes = 120;
 static constexpr std::size_t MaxEntries = 10000;
+static constexpr std::size_t MaxClearings = 1000;
 static constexpr std::size_t MaxReportsPerDeath = 32;
 
 namespace {
@@ -38,6 +39,7 @@
     Incarnation incarnation = 0;
     bool hasStarted = false;
     bool wasAnswering = false;
+    TimePoint at{};
 };
 
 struct Record
@@ -66,7 +68,6 @@
     }
 
     Suspicion suspicion(std::uint64_t fingerprint) const override;
-    std::vector<TargetId> deaths(std::uint64_t fingerprint) const override;
     void onSent(std::uint64_t fingerprint, const TargetId &target,
                 Incarnation incarnation) override;
     void onRunning(std::uint64_t fingerprint, const TargetId &target,
@@ -78,9 +79,13 @@
     void onLost(std::uint64_t fingerprint, const TargetId &target,
                 Incarnation incarnation) override;
     void onTargetDied(const TargetId &target, Incarnation incarnation) override;
-    void onReport(const PoisonReport &report) override;
-    void clear(std::uint64_t fingerprint) override { m_records.erase(fingerprint); }
+    bool onReport(const PoisonReport &report) override { return recordDeath(report); }
+    void clear(std::uint64_t fingerprint) override { onClearing({fingerprint, Duration::zero()}); }
+    void onClearing(const PoisonClearing &clearing) override;
     std::vector<Entry> entries() const override;
+    std::vector<PoisonReport> reports(std::size_t maxRequests) const override;
+    std::vector<PoisonReport> reportsOf(std::uint64_t fingerprint) const override;
+    std::vector<PoisonClearing> clearings() const override;
 
 private:
     bool isExpired(const Record &record) const;
@@ -88,6 +93,7 @@
     PoisonReport reportOf(const Run &run, const TargetId &target, std::size_t running) const;
     bool recordDeath(const PoisonReport &report);
     void evictRecords();
+    void evictClearings();
     Run *findRun(std::uint64_t fingerprint, const TargetId &target);
     Run &findOrAddRun(std::uint64_t fingerprint, const TargetId &target);
     std::vector<Run> takeRuns(const TargetId &target, Incarnation incarnation);
@@ -95,6 +101,7 @@
     TimerService &m_timers;
     const std::function<void(const PoisonReport &)> m_announce;
     std::unordered_map<std::uint64_t, Record> m_records;
+    std::unordered_map<std::uint64_t, TimePoint> m_clearedAt;
     std::unordered_map<TargetId, std::vector<Run>> m_runs;
 };
 
@@ -148,12 +155,6 @@
     return targets;
 }
 
-std::vector<TargetId> PoisonTable::deaths(std::uint64_t fingerprint) const
-{
-    const auto it = m_records.find(fingerprint);
-    return it == m_records.end() ? std::vector<TargetId>() : targetsOf(it->second);
-}
-
 void PoisonTable::onRunning(std::uint64_t fingerprint, const TargetId &target,
                             Incarnation incarnation)
 {
@@ -234,7 +235,7 @@
     const auto record = m_records.find(fingerprint);
     if (isComplete && record != m_records.end()
         && suspicionOf(record->second) == Suspicion::Suspect)
-        m_records.erase(record);
+        clear(fingerprint);
     const auto runs = m_runs.find(target);
     if (runs == m_runs.end())
         return;
@@ -292,16 +293,83 @@
     }
 }
 
-void PoisonTable::onReport(const PoisonReport &report)
+// The time of a clearing is kept, as reports of earlier deaths may still be on their way.
+void PoisonTable::onClearing(const PoisonClearing &clearing)
+{
+    evictClearings();
+    TimePoint &clearedAt = m_clearedAt[clearing.fingerprint];
+    clearedAt = std::max(clearedAt, m_timers.now() - clearing.age);
+    const auto it = m_records.find(clearing.fingerprint);
+    if (it == m_records.end())
+        return;
+    std::vector<Death> &deaths = it->second.deaths;
+    deaths.erase(std::remove_if(deaths.begin(), deaths.end(),
+                                [clearedAt](const Death &death) { return death.at <= clearedAt; }),
+                 deaths.end());
+    if (deaths.empty())
+        m_records.erase(it);
+}
+
+void PoisonTable::evictClearings()
+{
+    const TimePoint now = m_timers.now();
+    std::erase_if(m_clearedAt,
+                  [now](const auto &each) { return now - each.second >= RefusalLifetime; });
+    if (m_clearedAt.size() < MaxClearings)
+        return;
+    const auto oldest = std::min_element(
+            m_clearedAt.begin(), m_clearedAt.end(),
+            [](const auto &left, const auto &right) { return left.second < right.second; });
+    m_clearedAt.erase(oldest);
+}
+
+std::vector<PoisonClearing> PoisonTable::clearings() const
 {
-    recordDeath(report);
+    std::vector<PoisonClearing> clearings;
+    for (const auto &[fingerprint, when] : m_clearedAt)
+        clearings.push_back({fingerprint, m_timers.now() - when});
+    return clearings;
+}
+
+std::vector<PoisonReport> PoisonTable::reportsOf(std::uint64_t fingerprint) const
+{
+    std::vector<PoisonReport> reports;
+    const auto it = m_records.find(fingerprint);
+    if (it == m_records.end() || isExpired(it->second))
+        return reports;
+    for (const Death &death : it->second.deaths)
+        reports.push_back({fingerprint, death.target, death.incarnation, 0, death.hasStarted,
+                           death.wasAnswering, it->second.subject, m_timers.now() - death.at});
+    return reports;
+}
+
+std::vector<PoisonReport> PoisonTable::reports(std::size_t maxRequests) const
+{
+    std::vector<std::tuple<bool, TimePoint, std::uint64_t>> ranked;
+    for (const auto &[fingerprint, record] : m_records) {
+        const bool isRefused = suspicionOf(record) == Suspicion::Refused;
+        ranked.emplace_back(isRefused, record.lastDeathAt, fingerprint);
+    }
+    std::sort(ranked.rbegin(), ranked.rend());
+    ranked.resize(std::min(ranked.size(), maxRequests));
+    std::vector<PoisonReport> reports;
+    for (const auto &[isRefused, when, fingerprint] : ranked) {
+        for (PoisonReport &report : reportsOf(fingerprint))
+            reports.push_back(std::move(report));
+    }
+    return reports;
 }
 
 // Each death counts once, however many nodes report it. A later report may confirm that the target
 // had started the request. Returns whether the report added anything.
 bool PoisonTable::recordDeath(const PoisonReport &report)
 {
-    const Death death{report.target, report.incarnation, report.hasStarted, report.wasAnswering};
+    const Death death{report.target, report.incarnation, report.hasStarted, report.wasAnswering,
+                      m_timers.now() - report.age};
+    const auto clearing = m_clearedAt.find(report.fingerprint);
+    const bool isOutdated = clearing != m_clearedAt.end() && death.at <= clearing->second;
+    if (isOutdated || report.age >= RefusalLifetime)
+        return false;
     const auto it = m_records.find(report.fingerprint);
     if (it != m_records.end() && isExpired(it->second))
         m_records.erase(it);
@@ -319,7 +387,7 @@
         known->hasStarted = true;
     else
         return false;
-    record.lastDeathAt = m_timers.now();
+    record.lastDeathAt = std::max(record.lastDeathAt, death.at);
     return true;
 }
 
--- a/src/calls/poisontracker.h
+++ b/src/calls/poisontracker.h
@@ -1,6 +1,7 @@
 #ifndef CURRANTWALK_CALLS_POISONTRACKER_H
 #define CURRANTWALK_CALLS_POISONTRACKER_H
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -36,6 +37,14 @@
     /// Whether the target had been answering the request for some time.
     bool wasAnswering = false;
     std::string subject = {}; ///< Describes the request to operators; may be empty.
+    Duration age{0};          ///< Time since the death.
+};
+
+/// Reports to other nodes that what was known of a request was cleared.
+struct PoisonClearing
+{
+    std::uint64_t fingerprint = 0;
+    Duration age{0}; ///< Time since; deaths before that do not count.
 };
 
 /// Detects poisonous requests, which crash the targets that run them.
@@ -57,8 +66,6 @@
     virtual ~PoisonTracker() = default;
 
     virtual Suspicion suspicion(std::uint64_t fingerprint) const = 0;
-    /// Returns the targets that died while they ran the request.
-    virtual std::vector<TargetId> deaths(std::uint64_t fingerprint) const = 0;
     /// Called when the request is sent; the target may be down already.
     virtual void onSent(std::uint64_t fingerprint, const TargetId &target,
                         Incarnation incarnation) = 0;
@@ -78,10 +85,19 @@
     virtual void onLost(std::uint64_t fingerprint, const TargetId &target,
                         Incarnation incarnation) = 0;
     virtual void onTargetDied(const TargetId &target, Incarnation incarnation) = 0;
-    virtual void onReport(const PoisonReport &report) = 0;
-    /// Removes the record of a fingerprint; called on request of an operator.
+    /// Returns whether the report added anything.
+    virtual bool onReport(const PoisonReport &report) = 0;
+    /// Removes the record of a fingerprint; called on request of an operator. Reports of earlier
+    /// deaths are ignored from now on.
     virtual void clear(std::uint64_t fingerprint) = 0;
+    virtual void onClearing(const PoisonClearing &clearing) = 0;
     virtual std::vector<Entry> entries() const = 0;
+    /// Returns the recorded deaths, those of refused requests first, of at most \a maxRequests
+    /// requests.
+    virtual std::vector<PoisonReport> reports(std::size_t maxRequests) const = 0;
+    /// Returns the recorded deaths of one request.
+    virtual std::vector<PoisonReport> reportsOf(std::uint64_t fingerprint) const = 0;
+    virtual std::vector<PoisonClearing> clearings() const = 0;
 };
 
 } // namespace currantwalk
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -37,11 +37,10 @@
     return options;
 }
 
-// Tells this start of the node from earlier ones.
-static Incarnation unixMilliseconds()
+static std::uint64_t unixMilliseconds()
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<Incarnation>(
+    return static_cast<std::uint64_t>(
             std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
 }
 
@@ -79,7 +78,9 @@
                 loop.timers()),
       m_placer({}, m_random),
       m_outliers(outlierOptions()),
-      m_poison(PoisonTracker::create(loop.timers(), [](const PoisonReport &) {})),
+      m_poison(PoisonTracker::create(
+              loop.timers(),
+              [this](const PoisonReport &report) { m_poisonExchange.onDeath(report); })),
       m_incarnation(settings.incarnation != 0 ? settings.incarnation : unixMilliseconds()),
       m_roster({}, settings.vm),
       m_peers(loop.client(), loop.timers(), settings.peerKey, false, m_metrics),
@@ -91,6 +92,8 @@
                },
                [this](const LeavingNotice &target) { m_targets.applyLeavingNotice(target); }},
               loop.timers()),
+      m_poisonExchange(settings.zone, *m_poison, m_peers, m_roster,
+                       {m_bindings.writeRoster, &unixMilliseconds}, loop.timers(), m_random),
       m_services(relayServices())
 {
 }
@@ -165,6 +168,13 @@
         m_metrics.set("currantwalk_targets_age_seconds", {}, seconds(now - *m_targetsProvenAt));
     m_metrics.set("currantwalk_targets", {}, static_cast<double>(m_targets.size()));
     m_metrics.set("currantwalk_requests_in_progress", {}, static_cast<double>(m_sessions.size()));
+    std::map<Suspicion, std::size_t> poisonous{{Suspicion::Suspect, 0}, {Suspicion::Refused, 0}};
+    for (const PoisonTracker::Entry &entry : m_poison->entries())
+        ++poisonous[entry.suspicion];
+    for (const auto &[suspicion, count] : poisonous)
+        m_metrics.set("currantwalk_poisonous_requests",
+                      {{"state", std::string(suspicionName(suspicion))}},
+                      static_cast<double>(count));
     m_metrics.set("currantwalk_nodes", {}, static_cast<double>(m_roster.size()));
     m_metrics.set("currantwalk_connections", {},
                   static_cast<double>(m_loop.server().connections()));
@@ -253,7 +263,13 @@
 {
     const std::optional<Duration> age = m_catalog.age();
     return m_drain->isReady() && m_targetsProvenAt.has_value() && age
-           && *age <= m_settings.maxKeyAge;
+           && *age <= m_settings.maxKeyAge && !isRosterAwaited();
+}
+
+// The roster's topic also has the records of poisonous requests.
+bool EntryNode::isRosterAwaited() const
+{
+    return m_rosterFollower && !m_isRosterRead && !m_rosterFollower->isUnreachable();
 }
 
 void EntryNode::onProbe(HttpExchange &exchange)
@@ -353,9 +369,9 @@
 {
     std::string detail = " fingerprint=" + fingerprintText(fingerprint) + " deaths=";
     std::string_view separator;
-    for (const TargetId &target : m_poison->deaths(fingerprint)) {
+    for (const PoisonReport &report : m_poison->reportsOf(fingerprint)) {
         detail += separator;
-        detail += target.text();
+        detail += report.target.text();
         separator = ",";
     }
     refuseRequest(exchange, id, {503, PoisonRetryAfter, errorName(ErrorCode::PoisonousRequest)},
--- a/src/daemon/entrynode.h
+++ b/src/daemon/entrynode.h
@@ -7,6 +7,7 @@
 
 #include "base/randomsource.h"
 #include "daemon/loadexchange.h"
+#include "daemon/poisonexchange.h"
 #include "daemon/relaysession.h"
 #include "drain/drain.h"
 #include "limits/noderetrybudget.h"
@@ -49,6 +50,7 @@
     void announce();
     void leaveRoster();
     void takeRosterRecord(const KeyedRecord &record);
+    bool isRosterAwaited() const;
     void createDrain();
     RelayServices relayServices();
 
@@ -95,6 +97,7 @@
     NodeDirectory m_roster;
     PeerLink m_peers;
     LoadExchange m_loads;
+    PoisonExchange m_poisonExchange;
     std::unique_ptr<KeyedTopicFollower> m_rosterFollower;
     std::unique_ptr<Drain> m_drain;
     std::unique_ptr<KeyedTopicFollower> m_catalogFollower;
@@ -104,6 +107,7 @@
     TimerId m_tickTimer = NoTimer;
     TimerId m_announceTimer = NoTimer;
     std::optional<TimePoint> m_targetsProvenAt; ///< Up to which their entries are known.
+    bool m_isRosterRead = false;                ///< All its records have been read once.
     bool m_isStopped = false;
 };
 
--- a/src/daemon/entrynodestore.cpp
+++ b/src/daemon/entrynodestore.cpp
@@ -72,8 +72,10 @@
         return;
     KeyedTopicCallbacks events;
     events.onRecord = [this](const KeyedRecord &record) { takeRosterRecord(record); };
-    events.onKeyRemoved = [this](const std::string &key) { m_roster.remove(VmId(key)); };
-    events.onUpToDate = [](TimePoint) {};
+    events.onKeyRemoved = [this](const std::string &key) {
+        takeRosterRecord({key, std::nullopt, 0});
+    };
+    events.onUpToDate = [this](TimePoint) { m_isRosterRead = true; };
     events.onReadFailed = [](const absl::Status &status) {
         logLine(LogPart::Peers, LogLevel::Warning,
                 "The roster can't be read: " + std::string(status.message()));
@@ -92,6 +94,7 @@
                                    responder(Json::Value(m_catalogText));
                                });
     m_loads.start();
+    m_poisonExchange.start();
     announce();
 }
 
@@ -123,6 +126,10 @@
 
 void EntryNode::takeRosterRecord(const KeyedRecord &record)
 {
+    if (PoisonExchange::isRecordKey(record.key)) {
+        m_poisonExchange.onRecord(record.key, record.value);
+        return;
+    }
     const VmId vm(record.key);
     if (!record.value) {
         m_roster.remove(vm);
--- a/src/daemon/loadexchange.cpp
+++ b/src/daemon/loadexchange.cpp
@@ -9,8 +9,6 @@
 // Changes within this time go in one message.
 static constexpr Duration ChangeDelay = std::chrono::milliseconds(10);
 // A third of the time for which peers remember loads, so that two messages may be lost.
-// A message goes to each peer at each change; beyond this many nodes, to those of one zone alone.
-static constexpr std::size_t MaxNodesToldAll = 24;
 static constexpr Duration RepeatInterval = std::chrono::milliseconds(500);
 
 LoadExchange::LoadExchange(VmId vm, NodeRecord self, PeerLink &peers, NodeDirectory &roster,
@@ -65,7 +63,7 @@
 // message tells that nothing is in progress any more.
 std::map<ZoneName, InFlightLoads> LoadExchange::loadsByZone()
 {
-    const bool isSmall = m_roster.size() <= MaxNodesToldAll;
+    const bool isSmall = m_roster.isSmall();
     std::map<ZoneName, InFlightLoads> byZone;
     for (const ZoneName &zone : m_roster.zones())
         byZone[zone];
--- a/src/daemon/peerlink.cpp
+++ b/src/daemon/peerlink.cpp
@@ -1,5 +1,6 @@
 #include "daemon/peerlink.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/json.h"
@@ -8,6 +9,8 @@
 
 static constexpr Duration NotifyTimeout = std::chrono::seconds(1);
 static constexpr Duration CallTimeout = std::chrono::seconds(2);
+// Of a reported death, in microseconds; what is older counts no more.
+static constexpr std::uint64_t MaxReportAge = 24ULL * 3600 * 1000 * 1000;
 
 PeerLink::PeerLink(HttpClient &client, TimerService &timers, const std::string &sharedKey,
                    bool useTls, Metrics &metrics)
@@ -84,6 +87,9 @@
     json["incarnation"] = Json::UInt64(report.incarnation);
     json["neighbours"] = report.concurrentRequests;
     json["begun"] = report.hasStarted;
+    json["answering"] = report.wasAnswering;
+    json["subject"] = report.subject;
+    json["age_us"] = Json::Int64(report.age.count());
     return json;
 }
 
@@ -110,6 +116,11 @@
     report.target = TargetId(*target);
     report.incarnation = *incarnation;
     report.concurrentRequests = static_cast<std::uint32_t>(*neighbours);
+    // Earlier versions don't send these.
+    report.wasAnswering = boolMember(json, "answering").value_or(false);
+    report.subject = stringMember(json, "subject").value_or("");
+    const std::uint64_t age = unsignedMember(json, "age_us").value_or(0);
+    report.age = Duration(static_cast<Duration::rep>(std::min(age, MaxReportAge)));
     return report;
 }
 
--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -135,7 +135,7 @@
     return values;
 }
 
-SimServer::SimServer(SimNet &net, SimStore &store, PoisonRecords &poison, Options serverOptions,
+SimServer::SimServer(SimNet &net, SimStore &store, SimPoisonLogs &poison, Options serverOptions,
                      std::string name)
     : options(std::move(serverOptions)),
       m_net(net),
@@ -321,9 +321,7 @@
     store.isReachable = [this](const std::string &host) {
         const auto zone = m_zoneOfHost.find(host);
         const bool isCut = m_cutZone && zone != m_zoneOfHost.end() && zone->second == *m_cutZone;
-        const bool isSingle =
-                std::any_of(nodesWithoutStore.begin(), nodesWithoutStore.end(),
-                            [this, &host](std::size_t index) { return addressOf(index) == host; });
+        const bool isSingle = isOneOf(nodesWithoutStore, host);
         return m_isStoreUp && !isCut && !isSingle;
     };
     store.append(CatalogTopic, "config", "1");
@@ -342,7 +340,7 @@
             server.slots = 6;
             server.work = options.plainWork;
         }
-        servers.push_back(std::make_unique<SimServer>(net, store, poisonRecords, server,
+        servers.push_back(std::make_unique<SimServer>(net, store, poisonLogs, server,
                                                       "t" + std::to_string(i)));
         servers.back()->start();
     }
@@ -371,8 +369,18 @@
     return ZoneName("z" + std::to_string(index % m_options.zones));
 }
 
+bool EntryFleet::isOneOf(const std::set<std::size_t> &nodes, const std::string &host) const
+{
+    return std::any_of(nodes.begin(), nodes.end(),
+                       [this, &host](std::size_t index) { return addressOf(index) == host; });
+}
+
 bool EntryFleet::isCutFrom(const std::string &host, const std::string &other) const
 {
+    static const std::string NodeNetwork = "10.2.";
+    const bool areNodes = host.rfind(NodeNetwork, 0) == 0 && other.rfind(NodeNetwork, 0) == 0;
+    if (areNodes && (isOneOf(nodesWithoutPeers, host) || isOneOf(nodesWithoutPeers, other)))
+        return true;
     if (!m_cutZone)
         return false;
     const auto zone = m_zoneOfHost.find(host);
@@ -571,6 +579,17 @@
     timers.scheduleAfter(gap, [this, path, gap, span] { repeatPoison(path, gap, span - gap); });
 }
 
+void EntryFleet::replaceNodes(Duration gap, Duration span, std::size_t next)
+{
+    if (span < gap)
+        return;
+    killNode(next);
+    timers.scheduleAfter(gap / 2, [this, next] { startNode(next); });
+    timers.scheduleAfter(gap, [this, gap, span, next] {
+        replaceNodes(gap, span - gap, (next + 1) % m_nodes.size());
+    });
+}
+
 void EntryFleet::startInnocents(Duration gapPerNode, Duration span)
 {
     const TimePoint until = timers.now() + span;
@@ -595,7 +614,7 @@
 std::size_t EntryFleet::arrivalsAfterThirdCrash(const std::string &path, Duration slack)
 {
     constexpr std::size_t BoundedCrashes = 3;
-    const PoisonRecord &record = poisonRecords[path];
+    const SimPoisonLog &record = poisonLogs[path];
     if (record.crashes.size() < BoundedCrashes)
         return 0;
     const TimePoint from = record.crashes[BoundedCrashes - 1] + slack;
--- a/src/daemon/tests/entryfleet.h
+++ b/src/daemon/tests/entryfleet.h
@@ -61,13 +61,13 @@
 };
 
 /// What servers have seen of the poisonous requests of one path.
-struct PoisonRecord
+struct SimPoisonLog
 {
     std::vector<TimePoint> arrivals;
     std::vector<TimePoint> crashes; ///< Of servers that had begun such a request.
 };
 
-using PoisonRecords = std::map<std::string, PoisonRecord>;
+using SimPoisonLogs = std::map<std::string, SimPoisonLog>;
 
 /// A server of a service, as the platform's pages describe it: each start is a new incarnation, a
 /// request may crash it, and its entry in the store is removed after three missed beats.
@@ -90,7 +90,7 @@
         std::uint32_t eventsBeforeCrash = 0;
     };
 
-    SimServer(SimNet &net, SimStore &store, PoisonRecords &poison, Options options,
+    SimServer(SimNet &net, SimStore &store, SimPoisonLogs &poison, Options options,
               std::string name);
 
     void start();
@@ -121,7 +121,7 @@
 
     SimNet &m_net;
     SimStore &m_store;
-    PoisonRecords &m_poison;
+    SimPoisonLogs &m_poison;
     const std::string m_name;
     std::string m_id;
     std::uint64_t m_start = 0; ///< Number of its starts; earlier ones' timers do nothing.
@@ -172,6 +172,8 @@
     void setStoreUp(bool isUp) { m_isStoreUp = isUp; }
     /// Cuts single nodes off from the store.
     std::set<std::size_t> nodesWithoutStore;
+    /// Cuts single nodes off from the other nodes.
+    std::set<std::size_t> nodesWithoutPeers;
 
     /// Sends one request through the node \a index.
     void request(std::size_t index, const std::string &method, const std::string &path,
@@ -180,10 +182,12 @@
     void repeatPoison(const std::string &path, Duration gap, Duration span);
     /// Sends requests with bodies of their own through all nodes.
     void startInnocents(Duration gapPerNode, Duration span);
+    /// Kills one node after the other every \a gap for \a span; each starts again after half of it.
+    void replaceNodes(Duration gap, Duration span, std::size_t next = 0);
 
     std::size_t randomReadyNode();
     /// Returns the crashes that the requests of \a path have caused.
-    std::size_t crashesBy(const std::string &path) { return poisonRecords[path].crashes.size(); }
+    std::size_t crashesBy(const std::string &path) { return poisonLogs[path].crashes.size(); }
     /// Returns the arrivals of the requests of \a path at servers later than \a slack after they
     /// had crashed the third.
     std::size_t arrivalsAfterThirdCrash(const std::string &path, Duration slack);
@@ -192,7 +196,7 @@
     RandomSource random;
     SimNet net;
     SimStore store;
-    PoisonRecords poisonRecords;
+    SimPoisonLogs poisonLogs;
     std::vector<std::unique_ptr<SimServer>> servers;
     Tally poison;
     Tally innocents;
@@ -214,6 +218,7 @@
 
     EntryBindings bindings(const std::string &host, const std::weak_ptr<bool> &alive);
     std::string addressOf(std::size_t index) const;
+    bool isOneOf(const std::set<std::size_t> &nodes, const std::string &host) const;
     bool isCutFrom(const std::string &host, const std::string &other) const;
     void repeatInnocents(std::size_t index, Duration gap, TimePoint until);
 
--- a/src/daemon/tests/poisonfleettest.cpp
+++ b/src/daemon/tests/poisonfleettest.cpp
@@ -77,3 +77,134 @@
         CHECK_EQUAL(0U, fleet->innocents.open);
     }
 }
+
+TEST(PoisonFleet, requestStaysRefusedWhileNodesAreReplaced)
+{
+    build();
+    fleet->repeatPoison("/stream/p", 300ms, 40s);
+    fleet->replaceNodes(1s, 40s);
+    fleet->run(60s);
+    checkContained("/stream/p");
+}
+
+TEST(PoisonFleet, requestStaysRefusedAfterAllNodesRestartAtOnce)
+{
+    build();
+    fleet->repeatPoison("/stream/p", 300ms, 30s);
+    fleet->run(10s);
+    for (const int round : {1, 2, 3}) {
+        for (std::size_t i = 0; i < 7; ++i)
+            fleet->killNode(i);
+        fleet->run(500ms);
+        for (std::size_t i = 0; i < 7; ++i)
+            fleet->startNode(i);
+        fleet->run(round * 1s);
+    }
+    fleet->run(40s);
+    checkContained("/stream/p");
+}
+
+TEST(PoisonFleet, requestIsRefusedOnBothSidesOfACutZone)
+{
+    build();
+    fleet->cutZone("z0");
+    fleet->repeatPoison("/stream/p", 200ms, 30s);
+    fleet->run(5s);
+    fleet->cutZone(std::nullopt);
+    fleet->run(60s);
+    checkBound("/stream/p");
+}
+
+// The nodes that know of the request can't record it.
+TEST(PoisonFleet, nodesWithoutStoreLearnOfRequestFromPeers)
+{
+    build();
+    fleet->nodesWithoutStore = {0, 1, 2, 3, 4, 5};
+    fleet->repeatPoison("/stream/p", 300ms, 30s);
+    fleet->replaceNodes(2s, 12s);
+    fleet->run(60s);
+    checkContained("/stream/p");
+}
+
+TEST(PoisonFleet, nodeThatMissedTheReportsLearnsOfRequestFromTheStore)
+{
+    build();
+    fleet->nodesWithoutPeers = {6};
+    fleet->repeatPoison("/stream/p", 300ms, 30s);
+    fleet->run(60s);
+    checkContained("/stream/p");
+}
+
+TEST(PoisonFleet, nodeThatMissedTheReportsLearnsOfRequestFromPeersWhileTheStoreIsAway)
+{
+    build();
+    fleet->nodesWithoutStore = {6};
+    fleet->nodesWithoutPeers = {6};
+    for (const std::size_t node : {0, 1}) {
+        fleet->request(node, "POST", "/stream/p", "poison", fleet->poison);
+        fleet->run(500ms);
+    }
+    fleet->nodesWithoutPeers.clear();
+    fleet->run(10s);
+    CHECK(fleet->node(6).isReady());
+    fleet->request(6, "POST", "/stream/p", "poison", fleet->poison);
+    fleet->run(1s);
+    CHECK_EQUAL(2U, fleet->crashesBy("/stream/p"));
+    checkContained("/stream/p");
+}
+
+TEST(PoisonFleet, requestThatSilencesItsServersIsRefused)
+{
+    for (const char *path : {"/safe/p", "/once/p", "/stream/p"}) {
+        build();
+        for (const auto &server : fleet->servers)
+            server->options.crash = SimEnd::Silent;
+        fleet->repeatPoison(path, 500ms, 60s);
+        fleet->run(100s);
+        checkBound(path);
+    }
+}
+
+TEST(PoisonFleet, requestIsRefusedWhereServersRestartUnderTheirIds)
+{
+    for (const SimEnd end : {SimEnd::Reset, SimEnd::Silent}) {
+        build();
+        for (const auto &server : fleet->servers) {
+            server->options.keepsId = true;
+            server->options.crash = end;
+        }
+        fleet->repeatPoison("/stream/p", 500ms, 60s);
+        fleet->run(100s);
+        checkBound("/stream/p");
+    }
+}
+
+TEST(PoisonFleet, streamThatCrashesServersMidwayIsRefusedAndNotResumedWithoutEnd)
+{
+    for (const std::uint32_t events : {5U, 60U}) {
+        build();
+        for (const auto &server : fleet->servers) {
+            server->options.events = server->options.events > 0 ? 80 : 0;
+            server->options.eventsBeforeCrash = events;
+        }
+        fleet->repeatPoison("/stream/p", 2s, 60s);
+        fleet->run(100s);
+        checkBound("/stream/p");
+    }
+}
+
+TEST(PoisonFleet, requestIsRefusedAtNinetyNodes)
+{
+    build(sized(90, 4));
+    fleet->repeatPoison("/stream/p", 200ms, 5s);
+    fleet->run(7s);
+    checkContained("/stream/p");
+}
+
+TEST(PoisonFleet, requestIsRefusedAtThreeHundredAndThirtyNodes)
+{
+    build(sized(330, 27));
+    fleet->repeatPoison("/stream/p", 100ms, 4s);
+    fleet->run(5s);
+    checkContained("/stream/p");
+}
--- a/src/membership/nodedirectory.h
+++ b/src/membership/nodedirectory.h
@@ -32,6 +32,8 @@
 class NodeDirectory
 {
 public:
+    static constexpr std::size_t MaxSmallSize = 24;
+
     struct Options
     {
         /// Backoff of a peer after a message to it failed.
@@ -51,6 +53,8 @@
                                                               TimePoint now) const;
     /// Returns the number of known nodes, including this one.
     std::size_t size() const;
+    /// Returns whether there are so few nodes that each of them can notify all others.
+    bool isSmall() const { return size() <= MaxSmallSize; }
     std::set<ZoneName> zones() const;
 
 private:
