The death of a silent target counts against the requests that it was running

Cause: only a lost connection counted as a death, and a machine that loses power resets none.

Change: a request whose target is silent when the node gives up waiting is remembered for 30 s. It counts if the target then restarts under its id, or if its entry disappears without notice; in the other order too. A target that leaves without notice goes on answering, so only requests to which it is silent count when its entry goes, and completing clears them.

The rig now gives servers their ids before they start: an entry of the first start had stayed for good. Where the store tells nothing, a silent target's end stays unknown, and so does the request's guilt.

--- a/src/calls/poisontracker.cpp
+++ b/src/calls/poisontracker.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstddef>
+#include <iterator>
 #include <optional>
 #include <tuple>
 #include <unordered_map>
@@ -23,6 +24,10 @@
 static constexpr std::uint32_t LateDeathWeight = 1;
 static constexpr std::uint32_t MinWeightToRefuse = 2 * DeathWeight;
 static constexpr Duration EarlyPeriod = std::chrono::seconds(1);
+// A target that has not sent anything for this long is taken for silent.
+static constexpr Duration SilencePeriod = std::chrono::seconds(1);
+// How long the end of a silent target may take to become known.
+static constexpr Duration SilentDeathWindow = std::chrono::seconds(30);
 static constexpr Duration SuspicionLifetime = std::chrono::minutes(10);
 static constexpr Duration RefusalLifetime = std::chrono::hours(1);
 // Limit the memory and the messages that a flood of distinct requests can use.
@@ -44,8 +49,8 @@
 
 struct Record
 {
-    std::vector<Death> deaths;
-    TimePoint lastDeathAt{};
+    std::vector<Death> deaths; ///< At least one.
+    TimePoint lastDeathAt = TimePoint::min();
     std::string subject;
 };
 
@@ -56,6 +61,8 @@
     bool hasStarted = false;
     TimePoint startedAt{};
     std::optional<TimePoint> answeringSince;
+    std::optional<TimePoint> lastPartAt;  ///< Of the answer.
+    std::optional<TimePoint> abandonedAt; ///< Set if the node gave up waiting for the answer.
     std::string subject;
 };
 
@@ -75,10 +82,12 @@
     void onAnswering(std::uint64_t fingerprint, const TargetId &target) override;
     void setSubject(std::uint64_t fingerprint, const TargetId &target,
                     std::string subject) override;
+    void onAbandoned(std::uint64_t fingerprint, const TargetId &target) override;
     void onReleased(std::uint64_t fingerprint, const TargetId &target, bool isComplete) override;
     void onLost(std::uint64_t fingerprint, const TargetId &target,
                 Incarnation incarnation) override;
     void onTargetDied(const TargetId &target, Incarnation incarnation) override;
+    void onTargetVanished(const TargetId &target) override;
     bool onReport(const PoisonReport &report) override { return recordDeath(report); }
     void clear(std::uint64_t fingerprint) override { onClearing({fingerprint, Duration::zero()}); }
     void onClearing(const PoisonClearing &clearing) override;
@@ -89,7 +98,10 @@
 
 private:
     bool isExpired(const Record &record) const;
+    bool isSilent(const Run &run) const;
     bool wasAnswering(const Run &run) const;
+    void recordDeaths(const TargetId &target, const std::vector<Run> &runs);
+    void forgetOldSilence();
     PoisonReport reportOf(const Run &run, const TargetId &target, std::size_t running) const;
     bool recordDeath(const PoisonReport &report);
     void evictRecords();
@@ -103,6 +115,8 @@
     std::unordered_map<std::uint64_t, Record> m_records;
     std::unordered_map<std::uint64_t, TimePoint> m_clearedAt;
     std::unordered_map<TargetId, std::vector<Run>> m_runs;
+    std::unordered_map<TargetId, TimePoint> m_vanishedAt;
+    TimePoint m_nextForgetting{};
 };
 
 } // namespace
@@ -188,8 +202,51 @@
 void PoisonTable::onAnswering(std::uint64_t fingerprint, const TargetId &target)
 {
     Run *const run = findRun(fingerprint, target);
-    if (run && !run->answeringSince)
-        run->answeringSince = m_timers.now();
+    if (!run)
+        return;
+    run->lastPartAt = m_timers.now();
+    if (!run->answeringSince)
+        run->answeringSince = run->lastPartAt;
+}
+
+bool PoisonTable::isSilent(const Run &run) const
+{
+    return !run.lastPartAt || m_timers.now() - *run.lastPartAt >= SilencePeriod;
+}
+
+void PoisonTable::onAbandoned(std::uint64_t fingerprint, const TargetId &target)
+{
+    forgetOldSilence();
+    Run *const run = findRun(fingerprint, target);
+    if (!run)
+        return;
+    if (!isSilent(*run)) {
+        onReleased(fingerprint, target, false);
+        return;
+    }
+    if (!m_vanishedAt.contains(target)) {
+        run->abandonedAt = m_timers.now();
+        return;
+    }
+    recordDeaths(target, {*run});
+    onReleased(fingerprint, target, false);
+}
+
+// Looks at all runs, so not at each call.
+void PoisonTable::forgetOldSilence()
+{
+    const TimePoint now = m_timers.now();
+    if (now < m_nextForgetting)
+        return;
+    m_nextForgetting = now + SilencePeriod;
+    const auto isOld = [now](const std::optional<TimePoint> &when) {
+        return when && now - *when >= SilentDeathWindow;
+    };
+    std::erase_if(m_vanishedAt, [&](const auto &each) { return isOld(each.second); });
+    for (auto it = m_runs.begin(); it != m_runs.end();) {
+        std::erase_if(it->second, [&](const Run &run) { return isOld(run.abandonedAt); });
+        it = it->second.empty() ? m_runs.erase(it) : std::next(it);
+    }
 }
 
 void PoisonTable::setSubject(std::uint64_t fingerprint, const TargetId &target, std::string subject)
@@ -203,7 +260,7 @@
 
 bool PoisonTable::wasAnswering(const Run &run) const
 {
-    return run.answeringSince && m_timers.now() - *run.answeringSince >= EarlyPeriod;
+    return run.answeringSince && *run.lastPartAt - *run.answeringSince >= EarlyPeriod;
 }
 
 PoisonReport PoisonTable::reportOf(const Run &run, const TargetId &target,
@@ -284,7 +341,24 @@
 
 void PoisonTable::onTargetDied(const TargetId &target, Incarnation incarnation)
 {
-    const std::vector<Run> runs = takeRuns(target, incarnation);
+    recordDeaths(target, takeRuns(target, incarnation));
+}
+
+// A run that is silent to the node's own exchange is not over: its exchange still reports its end.
+void PoisonTable::onTargetVanished(const TargetId &target)
+{
+    m_vanishedAt[target] = m_timers.now();
+    const auto it = m_runs.find(target);
+    if (it == m_runs.end())
+        return;
+    std::vector<Run> silent;
+    std::copy_if(it->second.begin(), it->second.end(), std::back_inserter(silent),
+                 [this](const Run &run) { return isSilent(run); });
+    recordDeaths(target, silent);
+}
+
+void PoisonTable::recordDeaths(const TargetId &target, const std::vector<Run> &runs)
+{
     std::size_t reports = 0;
     for (const Run &run : runs) {
         const PoisonReport report = reportOf(run, target, runs.size());
@@ -297,8 +371,9 @@
 void PoisonTable::onClearing(const PoisonClearing &clearing)
 {
     evictClearings();
-    TimePoint &clearedAt = m_clearedAt[clearing.fingerprint];
-    clearedAt = std::max(clearedAt, m_timers.now() - clearing.age);
+    const TimePoint when = m_timers.now() - clearing.age;
+    TimePoint &clearedAt = m_clearedAt.try_emplace(clearing.fingerprint, when).first->second;
+    clearedAt = std::max(clearedAt, when);
     const auto it = m_records.find(clearing.fingerprint);
     if (it == m_records.end())
         return;
--- a/src/calls/poisontracker.h
+++ b/src/calls/poisontracker.h
@@ -77,6 +77,9 @@
     /// Sets the text that describes a running request to operators.
     virtual void setSubject(std::uint64_t fingerprint, const TargetId &target,
                             std::string subject) = 0;
+    /// Called when the node gave up waiting for the target's answer. If the target was silent and
+    /// turns out to have died, it counts as a death.
+    virtual void onAbandoned(std::uint64_t fingerprint, const TargetId &target) = 0;
     /// Called when the request completed, was cancelled or was moved while the target was alive.
     /// Completion clears a suspicion.
     virtual void onReleased(std::uint64_t fingerprint, const TargetId &target, bool isComplete) = 0;
@@ -85,6 +88,9 @@
     virtual void onLost(std::uint64_t fingerprint, const TargetId &target,
                         Incarnation incarnation) = 0;
     virtual void onTargetDied(const TargetId &target, Incarnation incarnation) = 0;
+    /// Called when the target disappeared without having announced it. It may still be answering,
+    /// so only requests to which it is silent count.
+    virtual void onTargetVanished(const TargetId &target) = 0;
     /// Returns whether the report added anything.
     virtual bool onReport(const PoisonReport &report) = 0;
     /// Removes the record of a fingerprint; called on request of an operator. Reports of earlier
--- a/src/calls/relaycall.cpp
+++ b/src/calls/relaycall.cpp
@@ -276,7 +276,7 @@
     if (!isCurrent(exchange))
         return;
     if (exchange == m_resumeExchange) {
-        if (wasSent && errorCode(status) == ErrorCode::ConnectionLost)
+        if (wasSent && !status.ok() && errorCode(status) == ErrorCode::ConnectionLost)
             m_hooks.reportLost(exchange);
         onResumeFailed(status);
         return;
--- a/src/calls/tests/poisontest.cpp
+++ b/src/calls/tests/poisontest.cpp
@@ -141,3 +141,104 @@
     tracker->onTargetDied(second, 9);
     CHECK(reports.size() <= 32);
 }
+
+TEST(PoisonTracker, silentTargetThatVanishesCountsAsDeath)
+{
+    tracker->onRunning(Poison, first, 1);
+    tracker->onRunning(Harmless, first, 1);
+    timers.advance(2s);
+    tracker->onAnswering(Harmless, first);
+    tracker->onAbandoned(Poison, first);
+    CHECK(tracker->suspicion(Poison) == Suspicion::None);
+    tracker->onTargetVanished(first);
+    CHECK(tracker->suspicion(Poison) == Suspicion::Suspect);
+    CHECK(tracker->suspicion(Harmless) == Suspicion::None);
+
+    tracker->onTargetVanished(second);
+    tracker->onRunning(Poison, second, 1);
+    timers.advance(5s);
+    tracker->onAbandoned(Poison, second);
+    CHECK(tracker->suspicion(Poison) == Suspicion::Refused);
+}
+
+TEST(PoisonTracker, silentTargetThatRestartsCountsAsDeath)
+{
+    tracker->onRunning(Poison, first, 1);
+    tracker->onAbandoned(Poison, first);
+    timers.advance(20s);
+    tracker->onTargetDied(first, 1);
+    CHECK(tracker->suspicion(Poison) == Suspicion::Suspect);
+    tracker->onRunning(Harmless, second, 1);
+    tracker->onAbandoned(Harmless, second);
+    timers.advance(31s);
+    tracker->onAbandoned(Poison, first);
+    tracker->onTargetDied(second, 1);
+    CHECK(tracker->suspicion(Harmless) == Suspicion::None);
+}
+
+TEST(PoisonTracker, requestGivenUpWhileItsTargetAnswersIsNotSuspected)
+{
+    tracker->onRunning(Harmless, first, 1);
+    tracker->onAnswering(Harmless, first);
+    tracker->onAbandoned(Harmless, first);
+    tracker->onTargetDied(first, 1);
+    CHECK(tracker->suspicion(Harmless) == Suspicion::None);
+}
+
+TEST(PoisonTracker, deathsLongAfterTheStartCountHalf)
+{
+    for (const std::uint64_t death : {1U, 2U, 3U, 4U}) {
+        CHECK(tracker->suspicion(Poison) != Suspicion::Refused);
+        tracker->onRunning(Poison, first, death);
+        tracker->onAnswering(Poison, first);
+        timers.advance(3s);
+        tracker->onAnswering(Poison, first);
+        tracker->onLost(Poison, first, death);
+        tracker->onReleased(Poison, first, false);
+    }
+    CHECK(tracker->suspicion(Poison) == Suspicion::Refused);
+}
+
+TEST(PoisonTracker, clearingOutlivesLateReportsOfEarlierDeaths)
+{
+    tracker->onReport({Poison, first, 1, 0});
+    tracker->onReport({Poison, second, 1, 0});
+    timers.advance(10s);
+    tracker->clear(Poison);
+    CHECK(!tracker->onReport({Poison, first, 1, 0, true, false, "", 20s}));
+    CHECK(tracker->suspicion(Poison) == Suspicion::None);
+    CHECK_EQUAL(1U, tracker->clearings().size());
+    timers.advance(10s);
+    CHECK(tracker->onReport({Poison, first, 2, 0, true, false, "", 5s}));
+    tracker->onClearing({Poison, 5s});
+    CHECK(tracker->suspicion(Poison) == Suspicion::None);
+    CHECK(tracker->onReport({Poison, first, 2, 0, true, false, "", 4s}));
+    timers.advance(61min);
+    tracker->onClearing({Harmless, 0s});
+    CHECK_EQUAL(1U, tracker->clearings().size());
+}
+
+// Otherwise two nodes that tell each other of a death would never forget it.
+TEST(PoisonTracker, reportPassedOnKeepsItsAge)
+{
+    tracker->onReport({Poison, first, 1, 0, true, false, "text", 4min});
+    timers.advance(5min);
+    const std::vector<PoisonReport> known = tracker->reports(10);
+    CHECK_EQUAL(1U, known.size());
+    CHECK(known[0].age == 9min);
+    STRCMP_EQUAL("text", known[0].subject.c_str());
+    timers.advance(1min);
+    CHECK(tracker->suspicion(Poison) == Suspicion::None);
+    CHECK(!tracker->onReport({Harmless, first, 1, 0, true, false, "", 61min}));
+}
+
+TEST(PoisonTracker, refusedRequestsAreReportedFirst)
+{
+    tracker->onReport({Poison, first, 1, 0});
+    tracker->onReport({Poison, second, 1, 0});
+    timers.advance(1s);
+    tracker->onReport({Harmless, first, 1, 0});
+    const std::vector<PoisonReport> known = tracker->reports(1);
+    CHECK_EQUAL(2U, known.size());
+    CHECK_EQUAL(Poison, known[0].fingerprint);
+}
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -74,7 +74,11 @@
       m_random(settings.randomSeed != 0 ? settings.randomSeed : entropySeed()),
       m_fetcher(loop.client(), loop.timers(), MaxEngineAnswerBytes),
       m_catalog(loop.timers()),
-      m_targets({}, {[this](const ServiceTarget &target) { onTargetLeaving(target); }},
+      m_targets({},
+                {[this](const ServiceTarget &target) { onTargetLeaving(target); },
+                 [this](const ServiceTarget &earlier) {
+                     m_poison->onTargetDied(earlier.id, earlier.entry.startedAt);
+                 }},
                 loop.timers()),
       m_placer({}, m_random),
       m_outliers(outlierOptions()),
@@ -240,6 +244,8 @@
 
 void EntryNode::onTargetLeaving(const ServiceTarget &target)
 {
+    if (!target.isLeavingAnnounced)
+        m_poison->onTargetVanished(target.id);
     std::vector<RelaySession *> sessions;
     for (const auto &[session, owner] : m_sessions)
         sessions.push_back(session);
--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -375,11 +375,12 @@
         if (it == m_exchanges.end())
             return;
         it->second.head = head;
+        m_services.poison.onAnswering(m_fingerprint, it->second.target);
         m_call->onHead(exchange, m_services.bindings.readAnswerHead(head, m_caller.id));
         finishIfSettled();
     };
     hooks.onBody = [this, exchange](std::string_view bytes) {
-        onFirstPart(exchange);
+        notePart(exchange);
         m_call->onBody(exchange, bytes);
         finishIfSettled();
     };
@@ -387,6 +388,8 @@
         const auto it = m_exchanges.find(exchange);
         if (it == m_exchanges.end())
             return;
+        it->second.hasEnded =
+                status.ok() || errorCode(status) != ErrorCode::DeadlineExceeded;
         const bool wasSent = it->second.call->progress() == SendProgress::Sent;
         if (!status.ok())
             logFailedSend(it->second.target, status, wasSent);
@@ -410,7 +413,10 @@
 
 void RelaySession::release(const TargetExchange &exchange)
 {
-    m_services.poison.onReleased(m_fingerprint, exchange.target, false);
+    if (exchange.hasEnded)
+        m_services.poison.onReleased(m_fingerprint, exchange.target, false);
+    else
+        m_services.poison.onAbandoned(m_fingerprint, exchange.target);
     m_services.placer.onEnded(exchange.target, load(), exchange.isWaiting);
     if (exchange.backup)
         m_services.placer.onBackupEnded(*exchange.backup, load());
@@ -418,12 +424,14 @@
         m_services.loadsChanged();
 }
 
-void RelaySession::onFirstPart(std::uint64_t exchange)
+void RelaySession::notePart(std::uint64_t exchange)
 {
     const auto it = m_exchanges.find(exchange);
-    if (it == m_exchanges.end() || !std::exchange(it->second.isWaiting, false))
+    if (it == m_exchanges.end())
         return;
     m_services.poison.onAnswering(m_fingerprint, it->second.target);
+    if (!std::exchange(it->second.isWaiting, false))
+        return;
     m_services.placer.onFirstEvent(it->second.target, load());
     if (load().promptTokens != 0)
         m_services.loadsChanged();
--- a/src/daemon/relaysession.h
+++ b/src/daemon/relaysession.h
@@ -70,6 +70,7 @@
         TargetId target;
         Incarnation incarnation = 0; ///< Of the target, as its entry says.
         bool isWaiting = true;       ///< No part of the answer has come.
+        bool hasEnded = false;       ///< The target has ended the answer or the connection.
         std::optional<TargetId> backup;
     };
 
@@ -94,7 +95,7 @@
     HttpCallHooks callHooks(std::uint64_t exchange, const TargetId &target, bool isResumed);
     void abandon(std::uint64_t exchange);
     void release(const TargetExchange &exchange);
-    void onFirstPart(std::uint64_t exchange);
+    void notePart(std::uint64_t exchange);
     void forwardHead(std::uint64_t exchange);
     void fail(const RelayFailure &failure);
     void forwardBody(std::string_view bytes);
--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -334,6 +334,8 @@
         const std::string address =
                 "10.1." + std::to_string(i / 200) + "." + std::to_string(i % 200 + 1);
         server.endpoint = {address, ServerPort};
+        server.crash = options.crash;
+        server.keepsId = options.doServersKeepIds;
         m_zoneOfHost[address] = server.zone.text();
         if (isPlain) {
             server.events = 0;
--- a/src/daemon/tests/entryfleet.h
+++ b/src/daemon/tests/entryfleet.h
@@ -143,6 +143,8 @@
         std::size_t plainServers = 3;
         double retrySlack = 54;
         Duration plainWork = std::chrono::milliseconds(15);
+        SimEnd crash = SimEnd::Reset;  ///< How servers end.
+        bool doServersKeepIds = false; ///< Whether servers start again under their ids.
     };
 
     /// The ends of callers' requests.
--- a/src/daemon/tests/poisonfleettest.cpp
+++ b/src/daemon/tests/poisonfleettest.cpp
@@ -156,9 +156,9 @@
 TEST(PoisonFleet, requestThatSilencesItsServersIsRefused)
 {
     for (const char *path : {"/safe/p", "/once/p", "/stream/p"}) {
-        build();
-        for (const auto &server : fleet->servers)
-            server->options.crash = SimEnd::Silent;
+        EntryFleet::Options options;
+        options.crash = SimEnd::Silent;
+        build(options);
         fleet->repeatPoison(path, 500ms, 60s);
         fleet->run(100s);
         checkBound(path);
@@ -168,11 +168,10 @@
 TEST(PoisonFleet, requestIsRefusedWhereServersRestartUnderTheirIds)
 {
     for (const SimEnd end : {SimEnd::Reset, SimEnd::Silent}) {
-        build();
-        for (const auto &server : fleet->servers) {
-            server->options.keepsId = true;
-            server->options.crash = end;
-        }
+        EntryFleet::Options options;
+        options.crash = end;
+        options.doServersKeepIds = true;
+        build(options);
         fleet->repeatPoison("/stream/p", 500ms, 60s);
         fleet->run(100s);
         checkBound("/stream/p");
--- a/src/targets/servicetargets.cpp
+++ b/src/targets/servicetargets.cpp
@@ -25,6 +25,8 @@
     const bool isRestart = known != m_targets.end()
                            && (known->second.entry.startedAt != entry.startedAt
                                || known->second.entry.endpoint != entry.endpoint);
+    if (isRestart && m_hooks.onRestarted)
+        m_hooks.onRestarted(known->second);
     if (isRestart && known->second.phase != TargetPhase::Leaving && m_hooks.onLeaving)
         m_hooks.onLeaving(known->second);
     if (known == m_targets.end() || isRestart) {
--- a/src/targets/servicetargets.h
+++ b/src/targets/servicetargets.h
@@ -77,6 +77,8 @@
     {
         /// Called when a target stops accepting new requests or has restarted under the same id.
         std::function<void(const ServiceTarget &)> onLeaving;
+        /// Called with the earlier start of a target that has restarted under the same id.
+        std::function<void(const ServiceTarget &)> onRestarted = nullptr;
     };
 
     ServiceTargets(const Options &options, Hooks hooks, TimerService &timers)
