--- a/src/calls/poisontracker.cpp
+++ b/src/calls/poisontracker.cpp
@@ -161,6 +161,23 @@
     return std::make_unique<PoisonTable>(timers, std::move(hooks));
 }
 
+PoisonKnowledge PoisonTracker::knowledge(std::size_t maxRequests) const
+{
+    return {reports(maxRequests), clearings(), {}};
+}
+
+bool PoisonTracker::apply(const PoisonKnowledge &knowledge)
+{
+    bool isNew = false;
+    for (const PoisonClearing &clearing : knowledge.clearings)
+        isNew = onClearing(clearing) || isNew;
+    for (const PoisonReport &report : knowledge.reports)
+        isNew = onReport(report) || isNew;
+    for (const TargetLifetime &lifetime : knowledge.lifetimes)
+        isNew = onLifetime(lifetime) || isNew;
+    return isNew;
+}
+
 bool PoisonTable::isExpired(const Record &record) const
 {
     const bool isRefused = suspicionOf(record) == Suspicion::Refused;
--- a/src/calls/poisontracker.h
+++ b/src/calls/poisontracker.h
@@ -56,6 +56,14 @@
     Duration ageOfEnd{0};
 };
 
+/// What nodes tell each other.
+struct PoisonKnowledge
+{
+    std::vector<PoisonReport> reports;
+    std::vector<PoisonClearing> clearings;
+    std::vector<TargetLifetime> lifetimes;
+};
+
 /// Detects poisonous requests, which crash the targets that run them.
 class PoisonTracker
 {
@@ -126,6 +134,10 @@
     /// Returns the recorded deaths of one request.
     virtual std::vector<PoisonReport> reportsOf(std::uint64_t fingerprint) const = 0;
     virtual std::vector<PoisonClearing> clearings() const = 0;
+    /// Returns what a node that has missed all messages needs, of at most \a maxRequests requests.
+    PoisonKnowledge knowledge(std::size_t maxRequests) const;
+    /// Applies what another node knows; returns whether that added anything.
+    bool apply(const PoisonKnowledge &knowledge);
 };
 
 } // namespace currantwalk
--- a/src/daemon/entrynodestore.cpp
+++ b/src/daemon/entrynodestore.cpp
@@ -1,6 +1,7 @@
 // What an entry node learns from the store, from its peers and, while the store is away, from
 // engines.
 #include "daemon/entrynode.h"
+#include "daemon/poisonmessages.h"
 
 #include "observe/logging.h"
 
@@ -126,7 +127,7 @@
 
 void EntryNode::takeRosterRecord(const KeyedRecord &record)
 {
-    if (PoisonExchange::isRecordKey(record.key)) {
+    if (isPoisonRecordKey(record.key)) {
         m_poisonExchange.onRecord(record.key, record.value);
         return;
     }
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -6,6 +6,7 @@
 
 #include "base/json.h"
 #include "daemon/operatorsapi.h"
+#include "daemon/poisonmessages.h"
 #include "observe/logging.h"
 #include "routing/zonepolicy.h"
 
--- a/src/daemon/nodepeers.cpp
+++ b/src/daemon/nodepeers.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "daemon/burncollector.h"
+#include "daemon/poisonmessages.h"
 #include "observe/logging.h"
 
 namespace currantwalk {
--- a/src/daemon/peerlink.h
+++ b/src/daemon/peerlink.h
@@ -9,7 +9,6 @@
 #include <json/value.h>
 
 #include "calls/generationcall.h"
-#include "calls/poisontracker.h"
 #include "membership/membership.h"
 #include "net/rpc.h"
 #include "observe/metrics.h"
@@ -46,9 +45,6 @@
 Json::Value encodeGeneration(const GenerationId &generation);
 /// Fails with JsonInvalid.
 absl::StatusOr<GenerationId> decodeGeneration(const Json::Value &json);
-Json::Value encodePoisonReport(const PoisonReport &report);
-/// Fails with JsonInvalid.
-absl::StatusOr<PoisonReport> decodePoisonReport(const Json::Value &json);
 
 } // namespace currantwalk
 
--- a/src/daemon/poisonexchange.h
+++ b/src/daemon/poisonexchange.h
@@ -12,6 +12,7 @@
 #include "base/randomsource.h"
 #include "calls/poisontracker.h"
 #include "daemon/peerlink.h"
+#include "daemon/poisoncomparison.h"
 #include "log/keyedtopicfollower.h"
 #include "membership/nodedirectory.h"
 
@@ -32,8 +33,6 @@
         std::function<std::uint64_t()> unixMilliseconds; ///< Returns the time of day.
     };
 
-    /// Number of requests of which a node tells another one in a comparison.
-    static constexpr std::size_t MaxComparedRequests = 256;
     /// Number of requests recorded in the store.
     static constexpr std::size_t MaxRecords = 256;
 
@@ -52,9 +51,7 @@
     void onCleared(const PoisonClearing &clearing);
     /// Called when this node found a target alive whose death had been recorded.
     void onWithdrawn(const TargetLifetime &lifetime);
-    /// Returns whether \a key names a record of a poisonous request.
-    static bool isRecordKey(const std::string &key);
-    /// Called with each such record of the nodes' topic.
+    /// Called with each record of the nodes' topic whose key names a request.
     void onRecord(const std::string &key, const std::optional<std::string> &value);
 
 private:
@@ -63,10 +60,8 @@
     void sendTo(const NodeRecord &peer, const Json::Value &message);
     void sendToZone(const ZoneName &zone, const Json::Value &message);
     void onNews(const Json::Value &message);
-    void comparePeriodically(Duration delay);
-    void compare();
-    Json::Value encodeKnowledge() const;
-    bool applyKnowledge(const Json::Value &message);
+    std::vector<Endpoint> availablePeers() const;
+    bool apply(const PoisonKnowledge &knowledge);
     void onRefused(std::uint64_t fingerprint, Duration delay);
     void writeRecord(std::uint64_t fingerprint);
     void deleteRecord(std::uint64_t fingerprint);
@@ -79,45 +74,16 @@
     const Hooks m_hooks;
     TimerService &m_timers;
     RandomSource &m_random;
-    std::vector<PoisonReport> m_unsentReports;
-    std::vector<PoisonClearing> m_unsentClearings;
-    std::vector<TargetLifetime> m_unsentLifetimes;
+    PoisonComparison m_comparison;
+    PoisonKnowledge m_unsent;
     std::set<std::uint64_t> m_recorded; ///< Requests that the store has a record of.
     std::map<std::uint64_t, TimerId> m_writeTimers;
     TimerId m_sendTimer = NoTimer;
-    TimerId m_compareTimer = NoTimer;
     TimerId m_expiryTimer = NoTimer;
     bool m_isStarted = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
-/// Encodes a list; absent lists are read as empty ones.
-Json::Value encodePoisonReports(const std::vector<PoisonReport> &reports);
-/// Fails with JsonInvalid.
-absl::StatusOr<std::vector<PoisonReport>> decodePoisonReports(const Json::Value &json);
-Json::Value encodePoisonClearings(const std::vector<PoisonClearing> &clearings);
-/// Fails with JsonInvalid.
-absl::StatusOr<std::vector<PoisonClearing>> decodePoisonClearings(const Json::Value &json);
-
-Json::Value encodeTargetLifetimes(const std::vector<TargetLifetime> &lifetimes);
-/// Fails with JsonInvalid.
-absl::StatusOr<std::vector<TargetLifetime>> decodeTargetLifetimes(const Json::Value &json);
-
-/// What the store keeps of a refused request.
-struct PoisonRecord
-{
-    std::uint64_t fingerprint = 0;
-    std::vector<PoisonReport> deaths;
-};
-
-/// Returns the key of a request's record in the nodes' topic.
-std::string poisonRecordKey(std::uint64_t fingerprint);
-/// Writes a record; the deaths get the time of day, as the reader's clock runs from another start.
-std::string encodePoisonRecord(const PoisonRecord &record, std::uint64_t unixMilliseconds);
-/// Fails with JsonInvalid.
-absl::StatusOr<PoisonRecord> decodePoisonRecord(const std::string &text,
-                                                std::uint64_t unixMilliseconds);
-
 } // namespace currantwalk
 
 #endif // CURRANTWALK_DAEMON_POISONEXCHANGE_H
--- /dev/null
+++ b/src/daemon/poisonmessages.h
@@ -0,0 +1,45 @@
+#ifndef CURRANTWALK_DAEMON_POISONMESSAGES_H
+#define CURRANTWALK_DAEMON_POISONMESSAGES_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <json/value.h>
+
+#include "base/error.h"
+#include "calls/poisontracker.h"
+
+namespace currantwalk {
+
+Json::Value encodePoisonKnowledge(const PoisonKnowledge &knowledge);
+/// Absent lists are read as empty ones. Fails with JsonInvalid.
+absl::StatusOr<PoisonKnowledge> decodePoisonKnowledge(const Json::Value &json);
+
+Json::Value encodePoisonReport(const PoisonReport &report);
+/// Fails with JsonInvalid.
+absl::StatusOr<PoisonReport> decodePoisonReport(const Json::Value &json);
+
+/// What the store keeps of a refused request.
+struct PoisonRecord
+{
+    std::uint64_t fingerprint = 0;
+    std::vector<PoisonReport> deaths;
+};
+
+/// Returns the key of a request's record in the nodes' topic.
+std::string poisonRecordKey(std::uint64_t fingerprint);
+bool isPoisonRecordKey(std::string_view key);
+/// Returns the request that a record's key names; nothing if it names none.
+std::optional<std::uint64_t> parsePoisonRecordKey(std::string_view key);
+/// Writes a record; the deaths get the time of day, as the reader's clock runs from another start.
+std::string encodePoisonRecord(const PoisonRecord &record, std::uint64_t unixMilliseconds);
+/// Fails with JsonInvalid.
+absl::StatusOr<PoisonRecord> decodePoisonRecord(const std::string &text,
+                                                std::uint64_t unixMilliseconds);
+
+} // namespace currantwalk
+
+#endif // CURRANTWALK_DAEMON_POISONMESSAGES_H
--- a/src/daemon/tests/poisonexchangetest.cpp
+++ b/src/daemon/tests/poisonmessagestest.cpp
@@ -1,4 +1,4 @@
-#include "daemon/poisonexchange.h"
+#include "daemon/poisonmessages.h"
 #include "daemon/requestfingerprint.h"
 
 #include <CppUTest/TestHarness.h>
@@ -15,33 +15,37 @@
 
 TEST(PoisonMessages, areReadAsTheyWereWritten)
 {
-    const auto reports = decodePoisonReports(encodePoisonReports({report}));
-    CHECK_EQUAL(1U, reports->size());
-    CHECK((*reports)[0].age == 3s);
-    CHECK((*reports)[0].wasAnswering);
-    STRCMP_EQUAL("GET /x of o", (*reports)[0].subject.c_str());
-    const auto clearings = decodePoisonClearings(encodePoisonClearings({{Fingerprint, 5s}}));
-    CHECK((*clearings)[0].age == 5s);
-    const auto lifetimes =
-            decodeTargetLifetimes(encodeTargetLifetimes({{TargetId("t"), 7, 9s, 1s}}));
-    CHECK((*lifetimes)[0].ageOfStart == 9s);
-    CHECK((*lifetimes)[0].ageOfEnd == 1s);
+    PoisonKnowledge knowledge;
+    knowledge.reports = {report};
+    knowledge.clearings = {{Fingerprint, 5s}};
+    knowledge.lifetimes = {{TargetId("t"), 7, 9s, 1s}};
+    const auto read = decodePoisonKnowledge(encodePoisonKnowledge(knowledge));
+    CHECK(read.ok());
+    CHECK(read->reports[0].age == 3s);
+    CHECK(read->reports[0].wasAnswering);
+    STRCMP_EQUAL("GET /x of o", read->reports[0].subject.c_str());
+    CHECK(read->clearings[0].age == 5s);
+    CHECK(read->lifetimes[0].ageOfStart == 9s);
+    CHECK(read->lifetimes[0].ageOfEnd == 1s);
 }
 
 TEST(PoisonMessages, absentListsAreEmptyAndOthersAreRefused)
 {
-    CHECK(decodePoisonReports(Json::Value())->empty());
-    CHECK(decodePoisonClearings(Json::Value())->empty());
-    CHECK(decodeTargetLifetimes(Json::Value())->empty());
-    CHECK(!decodePoisonReports(Json::Value("x")).ok());
-    CHECK(!decodePoisonClearings(Json::Value(1)).ok());
-    CHECK(!decodeTargetLifetimes(Json::Value(Json::objectValue)).ok());
-    Json::Value row(Json::arrayValue);
-    row.append(Json::UInt64(1));
-    row.append(Json::UInt64(~0ULL));
-    Json::Value rows(Json::arrayValue);
-    rows.append(row);
-    CHECK(!decodePoisonClearings(rows).ok());
+    const auto none = decodePoisonKnowledge(Json::Value(Json::objectValue));
+    CHECK(none.ok());
+    CHECK(none->reports.empty() && none->clearings.empty() && none->lifetimes.empty());
+    CHECK(!decodePoisonKnowledge(Json::Value("x")).ok());
+    for (const char *list : {"reports", "clearings", "alive"}) {
+        Json::Value json(Json::objectValue);
+        json[list] = 1;
+        CHECK(!decodePoisonKnowledge(json).ok());
+        Json::Value row(Json::arrayValue);
+        row.append(Json::UInt64(1));
+        row.append(Json::UInt64(~0ULL));
+        json[list] = Json::Value(Json::arrayValue);
+        json[list].append(row);
+        CHECK(!decodePoisonKnowledge(json).ok());
+    }
 }
 
 // A version without ages and subjects runs beside this one while nodes are replaced.
@@ -72,9 +76,9 @@
 TEST(PoisonMessages, keyOfARecordNamesItsRequest)
 {
     STRCMP_EQUAL("poison/00ab000000000001", poisonRecordKey(Fingerprint).c_str());
-    CHECK(PoisonExchange::isRecordKey(poisonRecordKey(Fingerprint)));
-    CHECK(!PoisonExchange::isRecordKey("front-1"));
-    CHECK_EQUAL(Fingerprint, *parseFingerprint(fingerprintText(Fingerprint)));
+    CHECK(isPoisonRecordKey(poisonRecordKey(Fingerprint)));
+    CHECK(!isPoisonRecordKey("front-1"));
+    CHECK_EQUAL(Fingerprint, *parsePoisonRecordKey(poisonRecordKey(Fingerprint)));
     for (const char *other : {"", "ab", "00ab00000000000x", "00ab0000000000011"})
         CHECK(!parseFingerprint(other));
 }
