Nodes of the own interface compare what they know of poisonous requests

What callers saw: a VM that started after two engines had died of a request knew nothing of it, and ended engines of its own; a clearing held only at the node where the operator gave it.

Cause: a death was disseminated once, to the members of that moment. The same class as on the relayed path.

Change: Node uses PoisonComparison too: every 5 s, and as soon as it has a peer, it compares what it knows with a random alive member.

Evidence: nodeLearnsOfPoisonousRequestsWhoseReportsItMissed never held within a minute before, and holds within seconds with the change. A first try of the test, with a request whose reports were sent while a third VM started 1 to 8 s later, passed before too: gossip still had them queued.

--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -198,6 +198,13 @@
         m_membership->disseminate("poison", fact, true);
     };
     m_poison = PoisonTracker::create(m_loop.timers(), std::move(poisonHooks));
+    PoisonComparison::Hooks comparisonHooks;
+    comparisonHooks.peers = [this] { return alivePeers(); };
+    comparisonHooks.onKnowledge = [this](const PoisonKnowledge &knowledge) {
+        m_poison->apply(knowledge);
+    };
+    m_poisonComparison = std::make_unique<PoisonComparison>(
+            *m_poison, m_peers, std::move(comparisonHooks), m_loop.timers(), m_random);
     Claims::Options options;
     options.vm = VmId(m_settings.vm);
     options.incarnation = m_incarnation;
@@ -360,6 +367,7 @@
 void Node::start()
 {
     m_membership->start();
+    m_poisonComparison->start();
     m_config->start();
     m_targets->start();
     m_duties->start();
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -17,6 +17,7 @@
 #include "daemon/duties.h"
 #include "daemon/objectindex.h"
 #include "daemon/peerlink.h"
+#include "daemon/poisoncomparison.h"
 #include "daemon/platformlink.h"
 #include "daemon/requestservices.h"
 #include "daemon/settings.h"
@@ -104,6 +105,7 @@
     void onFact(const std::string &kind, const Json::Value &fact);
     void pullConfig(const Member &member);
     void retryPull();
+    std::vector<Endpoint> alivePeers() const;
     void refreshVmList();
     void onTargetChange(const Target &target);
     void probeTarget(const Target &target);
@@ -143,6 +145,7 @@
     std::unique_ptr<RoutingPolicy> m_policy;
     std::unique_ptr<Dispatcher> m_dispatcher;
     std::unique_ptr<PoisonTracker> m_poison;
+    std::unique_ptr<PoisonComparison> m_poisonComparison;
     std::unique_ptr<Limiter> m_limiter;
     std::unique_ptr<Claims> m_claims;
     std::unique_ptr<Cancellations> m_cancellations;
--- a/src/daemon/nodepeers.cpp
+++ b/src/daemon/nodepeers.cpp
@@ -116,6 +116,16 @@
     }
 }
 
+std::vector<Endpoint> Node::alivePeers() const
+{
+    std::vector<Endpoint> peers;
+    for (const Member &member : m_membership->members()) {
+        if (member.state == MemberState::Alive && member.vm.text() != m_settings.vm)
+            peers.push_back(member.endpoint);
+    }
+    return peers;
+}
+
 void Node::refreshVmList()
 {
     m_platform.fetchVms([this](const absl::StatusOr<VmList> &list) {
--- a/src/daemon/tests/nodetest.cpp
+++ b/src/daemon/tests/nodetest.cpp
@@ -242,6 +242,23 @@
     CHECK_EQUAL(2U, crashes());
 }
 
+TEST(Node, nodeLearnsOfPoisonousRequestsWhoseReportsItMissed)
+{
+    constexpr std::uint64_t Fingerprint = 7;
+    fleet.node(0).poison().onReport({Fingerprint, TargetId("engine-0"), 1, 0});
+    fleet.node(0).poison().onReport({Fingerprint, TargetId("engine-1"), 1, 0});
+    fleet.addNode("a");
+    const auto haveAll = [this](Suspicion suspicion) {
+        const std::vector<std::size_t> nodes{0, 1, 2};
+        return std::all_of(nodes.begin(), nodes.end(), [&](std::size_t node) {
+            return fleet.node(node).poison().suspicion(Fingerprint) == suspicion;
+        });
+    };
+    fleet.runUntil([&] { return haveAll(Suspicion::Refused); });
+    fleet.node(1).poison().clear(Fingerprint);
+    fleet.runUntil([&] { return haveAll(Suspicion::None); });
+}
+
 TEST(Node, servesAnInnocentRequestWhileEnginesRestart)
 {
     for (const char *id : {"engine-0", "engine-1"})
