A starting node spends none of the slack of the retry budget

What callers saw: nothing traced; BUDGET bounds the arrivals beyond the first in each window over all nodes.

Change: a process uses only the ratio of its own requests within the first window after its start, and no slack before it has read the roster once.

The tests of EntryNode send repeats right after the start; they get a window of 1 ms, so that repeats are sent as before.

--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -71,6 +71,7 @@
     : m_settings(settings),
       m_bindings(std::move(bindings)),
       m_loop(loop),
+      m_startedAt(loop.timers().now()),
       m_random(settings.randomSeed != 0 ? settings.randomSeed : entropySeed()),
       m_fetcher(loop.client(), loop.timers(), MaxEngineAnswerBytes),
       m_catalog(loop.timers()),
@@ -416,10 +417,13 @@
     return best ? best : m_placer.choose(usable, excluded, now, zone, spread);
 }
 
-// Until the roster is known, a large deployment is assumed.
+// Without a roster, or while it can't be read, a large deployment is assumed. Returns 0 until the
+// roster has been read for the first time.
 std::uint32_t EntryNode::nodesSharing() const
 {
     constexpr std::size_t AssumedNodes = 16;
+    if (m_rosterFollower && !m_isRosterRead)
+        return 0;
     const bool isKnown =
             m_rosterFollower && !m_rosterFollower->isUnreachable() && m_roster.size() > 1;
     return static_cast<std::uint32_t>(isKnown ? m_roster.size()
@@ -428,13 +432,10 @@
 
 NodeRetryBudget &EntryNode::allowance(const std::string &service)
 {
-    const auto known = m_allowances.find(service);
-    if (known != m_allowances.end()) {
-        known->second.setNodeCount(nodesSharing());
-        return known->second;
-    }
-    return m_allowances.emplace(service, NodeRetryBudget(allowanceOptions(m_settings)))
-            .first->second;
+    const auto [known, isNew] = m_allowances.try_emplace(
+            service, NodeRetryBudget(allowanceOptions(m_settings), m_startedAt));
+    known->second.setNodeCount(nodesSharing());
+    return known->second;
 }
 
 void EntryNode::tick()
--- a/src/daemon/entrynode.h
+++ b/src/daemon/entrynode.h
@@ -81,6 +81,7 @@
     EntrySettings m_settings;
     const EntryBindings m_bindings;
     EventLoop &m_loop;
+    const TimePoint m_startedAt;
     RandomSource m_random;
     Metrics m_metrics;
     Endpoint m_callersEndpoint;
--- a/src/daemon/tests/entrynodetest.cpp
+++ b/src/daemon/tests/entrynodetest.cpp
@@ -164,6 +164,7 @@
         settings.maxKeyAge = 300ms;
         settings.stopGrace = 1s;
         settings.retrySlack = 1000;
+        settings.retryWindow = 1ms; // The slack is usable from then on.
         node = std::move(EntryNode::create(settings, bindings(), *targetBench.loop).value());
     }
 
--- a/src/limits/noderetrybudget.cpp
+++ b/src/limits/noderetrybudget.cpp
@@ -1,7 +1,5 @@
 #include "limits/noderetrybudget.h"
 
-#include <algorithm>
-
 namespace currantwalk {
 
 void NodeRetryBudget::onRequest(TimePoint now)
@@ -23,7 +21,8 @@
     expire(now);
     const double requestRetries = m_options.ratio * m_options.usableRatioFraction
                                   * static_cast<double>(m_requests.size());
-    const double slackRetries = m_options.slack / std::max<std::uint32_t>(m_nodes, 1);
+    const bool isSlackUsable = m_nodes != 0 && m_startedAt + m_options.window <= now;
+    const double slackRetries = isSlackUsable ? m_options.slack / m_nodes : 0;
     return requestRetries + slackRetries - static_cast<double>(m_retries.size());
 }
 
--- a/src/limits/noderetrybudget.h
+++ b/src/limits/noderetrybudget.h
@@ -21,10 +21,15 @@
         double usableRatioFraction = 0.9;
     };
 
-    explicit NodeRetryBudget(const Options &options) : m_options(options) {}
+    /// \a startedAt is the start of the process. No slack is spent within a window after it,
+    /// because an earlier process of the node may have spent it.
+    explicit NodeRetryBudget(const Options &options, TimePoint startedAt = TimePoint::min())
+        : m_options(options), m_startedAt(startedAt)
+    {
+    }
 
     void setOptions(const Options &options) { m_options = options; }
-    /// Sets the number of nodes that share the slack; at least 1.
+    /// Sets the number of nodes that share the slack; 0 if it is unknown, so that none is spent.
     void setNodeCount(std::uint32_t nodes) { m_nodes = nodes; }
     void onRequest(TimePoint now);
     /// Spends one retry if the window has one left; returns whether it did.
@@ -36,6 +41,7 @@
     void expire(TimePoint now);
 
     Options m_options;
+    TimePoint m_startedAt;
     std::uint32_t m_nodes = 1;
     std::deque<TimePoint> m_requests;
     std::deque<TimePoint> m_retries;
