Answers whose framing never ends are refused

What callers saw: nothing; found by a test of bytes that are no answer and never end.

Change: what is received since the last part of the head or of the body is counted, and limited like a head; past it the exchange fails with TargetProtocolError and its connection is closed. The watch of bodies that end with their connection now covers chunked ones too.

Evidence: EndlessAnswer.interimHeadsWithoutEndAreRefused and chunkFramingWithoutEndIsRefused failed and pass; heads without an end or with endless fields, and the pause of an endless body, were right before.

--- a/src/net/h2ocall.cpp
+++ b/src/net/h2ocall.cpp
@@ -201,14 +201,28 @@
         self->fail(status);
         return;
     }
+    const std::size_t received = socket->bytes_read;
     self->m_readCallback(socket, error);
-    if (self->m_isCloseDelimited && self->m_client)
+    if (!self->m_client)
+        return;
+    const bool hasHead = self->m_lastActivity != TimePoint();
+    if (!hasHead)
+        self->limitOverhead(received);
+    else if (self->m_isCloseDelimited || self->m_isChunked)
         self->watchBody();
 }
 
+// Interim heads, chunk extensions and trailers are consumed by the library without a limit.
+void ClientExchange::limitOverhead(std::size_t received)
+{
+    m_overheadBytes += received;
+    if (m_overheadBytes > m_context->maxHeadBytes)
+        fail(makeError(ErrorCode::TargetProtocolError, "the answer has too much besides its body"));
+}
+
 // The library takes a reset for the end of a body that is delimited by the connection's end. Its
 // read callback, which it sets when the head's callback has returned, is wrapped in one that notes
-// how the connection ended.
+// how the connection ended. The same one notices chunk framing without a body.
 void ClientExchange::watchBody()
 {
     h2o_socket_t *const sock = m_client->sock;
@@ -225,7 +239,15 @@
     const std::shared_ptr<ClientExchange> self =
             static_cast<ClientExchange *>(client->data)->shared_from_this();
     self->m_isReset = error && error != h2o_socket_error_closed;
+    const std::size_t received = socket->bytes_read;
+    self->m_hasBodyProgress = false;
     self->m_readCallback(socket, error);
+    if (!self->m_client)
+        return;
+    if (self->m_hasBodyProgress)
+        self->m_overheadBytes = 0;
+    else
+        self->limitOverhead(received);
 }
 
 ClientExchange::BodyCallback ClientExchange::onHead(h2o_http1client_t *client, const char *error,
@@ -265,6 +287,7 @@
         head.headers.push_back(
                 {lowerCase(viewOf(*headers[i].name)), std::string(viewOf(headers[i].value))});
     m_isChunked = findHeader(head.headers, "transfer-encoding").has_value();
+    m_overheadBytes = 0;
     m_isCloseDelimited = !m_isChunked && !findHeader(head.headers, "content-length");
     if (m_hooks.onHead)
         m_hooks.onHead(head);
@@ -296,6 +319,7 @@
 {
     h2o_buffer_t **input = &m_client->sock->input;
     const std::size_t size = (*input)->size;
+    m_hasBodyProgress = m_hasBodyProgress || size != 0;
     m_lastActivity = m_context->timers.now();
     if (m_isPaused || !m_held.empty()) {
         m_held.append((*input)->bytes, size);
--- a/src/net/h2ocall.h
+++ b/src/net/h2ocall.h
@@ -66,6 +66,7 @@
     void connected(h2o_iovec_t **buffers, std::size_t *bufferCount);
     void headArrived(int status, const h2o_header_t *headers, std::size_t headerCount);
     void bodyArrived();
+    void limitOverhead(std::size_t received);
     void wholeAnswerArrived();
     bool isCutOff() const;
     void deliverHeld();
@@ -98,6 +99,7 @@
     TimerId m_deadline = NoTimer;
     TimerId m_stepTimer = NoTimer;
     TimePoint m_lastActivity{};
+    std::size_t m_overheadBytes = 0; ///< Received since the last part of the head or the body.
     SendProgress m_progress = SendProgress::NothingSent;
     bool m_isStarting = false;
     bool m_isInLibrary = false; ///< A callback of the library is running.
@@ -107,7 +109,8 @@
     bool m_isChunked = false;
     bool m_isCloseDelimited = false; ///< The answer's body ends with the connection.
     bool m_isBodyWatched = false;
-    bool m_isReset = false; ///< The connection ended by an error, not by a close.
+    bool m_hasBodyProgress = false; ///< The current read has brought a part of the body.
+    bool m_isReset = false;         ///< The connection ended by an error, not by a close.
     bool m_isEnded = false;
 };
 
