A relayed answer waits for a caller that does not read

A target with an endless body and a caller that reads slowly fill the node's memory: over 16 MB within 0.2 s were taken for one request.

Cause: the own interface holds an engine back while its caller does not read, the relayed path passed on without a look.

Change: past 64 KB that wait for the caller's connection, the target's connection is not read from until they have gone. The deadline still ends such a request.

Evidence: EndlessRelay.endlessBodyWaitsForACallerThatDoesNotRead and endlessBodyEndsAtTheRoutesTimeLimit failed and pass; an endless event and an endless head were refused with 502 before, and are. The caller gets what it reads, or a closed connection at the route's time limit.

--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -27,6 +27,8 @@
 // An answer that is expected to be shorter is over before a copy of it would help; its share of the
 // worth does not pay for the room.
 static constexpr std::uint32_t LeastBackedUpTokens = 200;
+// Bytes that wait for the caller's connection before the target is held back.
+static constexpr std::size_t MaxPendingBytes = std::size_t{64} * 1024;
 // Where nothing is known of a generation's length, this part of its limit is expected.
 static constexpr std::uint32_t UnknownLengthDivisor = 2;
 
@@ -56,6 +58,7 @@
 {
     *m_alive = false;
     m_exchange->onClosed(nullptr);
+    m_exchange->onDrained(nullptr);
     for (auto &[number, exchange] : m_exchanges)
         release(exchange);
     while (!m_reservations.empty())
@@ -134,6 +137,10 @@
         logOutcome("caller-gone", "");
         finishIfSettled();
     });
+    m_exchange->onDrained([this, alive = m_alive] {
+        if (*alive)
+            setPaused(false);
+    });
     m_call->start();
     finishIfSettled();
 }
@@ -454,6 +461,20 @@
         m_longestGap = std::max(m_longestGap, now - m_lastPartAt);
     m_lastPartAt = now;
     m_exchange->write(std::string(bytes));
+    if (m_exchange->pendingBytes() > MaxPendingBytes)
+        setPaused(true);
+}
+
+void RelaySession::setPaused(bool isPaused)
+{
+    if (std::exchange(m_isPaused, isPaused) == isPaused)
+        return;
+    for (const auto &[number, exchange] : m_exchanges) {
+        if (isPaused)
+            exchange.call->pause();
+        else
+            exchange.call->resume();
+    }
 }
 
 bool RelaySession::isLate() const
--- a/src/daemon/relaysession.h
+++ b/src/daemon/relaysession.h
@@ -99,6 +99,7 @@
     void forwardHead(std::uint64_t exchange);
     void fail(const RelayFailure &failure);
     void forwardBody(std::string_view bytes);
+    void setPaused(bool isPaused);
     bool isLate() const;
     void countOutcome(std::string_view outcome) const;
     void logSend(const ServiceTarget &target, const RelaySend &order) const;
@@ -122,6 +123,7 @@
     std::map<std::uint64_t, TargetExchange> m_exchanges;
     std::map<std::uint64_t, TargetId> m_reservations; ///< Of copies under way, by move.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    bool m_isPaused = false; ///< The targets wait for the caller to read.
     bool m_isDone = false;
 };
 
--- a/src/daemon/tests/entrynodetest.cpp
+++ b/src/daemon/tests/entrynodetest.cpp
@@ -6,6 +6,7 @@
 #include "base/json.h"
 #include "daemon/entrynode.h"
 #include "net/tests/looptesting.h"
+#include "net/tests/rawsocket.h"
 #include "observe/tests/logcapture.h"
 
 #include <CppUTest/TestHarness.h>
@@ -392,3 +393,108 @@
     STRCMP_EQUAL("close",
                  std::string(findHeader(record.head.headers, "connection").value_or("")).c_str());
 }
+
+// A target whose answer never ends; the node holds only what fits into buffers.
+TEST_GROUP_BASE(EndlessRelay, TEST_GROUP_CppUTestGroupEntryNode)
+{
+    static constexpr std::size_t PartBytes = 100000;
+    // What the sockets on both sides may hold besides the node's own buffers.
+    static constexpr std::size_t MaxTakenBytes = std::size_t{16} * 1024 * 1024;
+
+    RawListener target;
+    std::unique_ptr<RawSocket> targetSide;
+    std::unique_ptr<RawSocket> caller;
+    std::size_t sentBytes = 0;
+
+    void startRelay(const char *path)
+    {
+        append(catalogTopic, "config", "1");
+        append(targetsTopic, "t1", target.endpoint().toString());
+        start();
+        CHECK(targetBench.runUntil([this] { return node->isReady(); }));
+        caller = std::make_unique<RawSocket>(node->callersEndpoint());
+        const std::string request =
+                "GET " + std::string(path) + " HTTP/1.1\r\nhost: h\r\nkey: key\r\n\r\n";
+        std::string_view rest = request;
+        CHECK(targetBench.runUntil([&] {
+            rest = rest.empty() ? rest : caller->send(rest);
+            const int fd = target.accept();
+            if (fd >= 0)
+                targetSide = std::make_unique<RawSocket>(fd);
+            return fd >= 0;
+        }));
+    }
+
+    /// Sends \a beginning and then \a repeated until \a isOver holds.
+    template<typename Predicate>
+    void sendEndlessly(const std::string &beginning, const std::string &repeated, Predicate isOver)
+    {
+        std::string_view rest = beginning;
+        CHECK(targetBench.runUntil([&] {
+            const std::size_t before = rest.size();
+            rest = targetSide->send(rest);
+            sentBytes += before - rest.size();
+            if (rest.empty())
+                rest = repeated;
+            targetSide->receive();
+            return isOver() || sentBytes > MaxTakenBytes;
+        }));
+    }
+
+    static std::string event()
+    {
+        return "id: 1\ndata: " + std::string(PartBytes, 'x') + "\n\n";
+    }
+};
+
+TEST(EndlessRelay, endlessBodyWaitsForACallerThatDoesNotRead)
+{
+    startRelay("/s/x");
+    int rounds = 0;
+    sendEndlessly("HTTP/1.1 200 OK\r\n\r\n", "data: " + std::string(PartBytes, 'x') + "\n\n",
+                  [&rounds] { return ++rounds > 3000; });
+    CHECK(sentBytes < MaxTakenBytes);
+    // The rest comes as soon as the caller reads.
+    const std::size_t before = sentBytes;
+    sendEndlessly("", "data: " + std::string(PartBytes, 'x') + "\n\n", [&] {
+        caller->receive();
+        return sentBytes > before + std::size_t{4} * 1024 * 1024;
+    });
+    CHECK(caller->received().size() > std::size_t{4} * 1024 * 1024);
+}
+
+TEST(EndlessRelay, endlessEventIsRefused)
+{
+    startRelay("/s/x");
+    sendEndlessly("HTTP/1.1 200 OK\r\n\r\n", std::string(PartBytes, 'x'),
+                  [this] { return targetSide->isClosed(); });
+    CHECK(targetSide->isClosed());
+    CHECK(targetBench.runUntil([this] {
+        caller->receive();
+        return caller->received().find("HTTP/1.1 502") == 0;
+    }));
+}
+
+TEST(EndlessRelay, endlessBodyEndsAtTheRoutesTimeLimit)
+{
+    startRelay("/a/x");
+    sendEndlessly("HTTP/1.1 200 OK\r\n\r\n", std::string(PartBytes, 'x'),
+                  [this] { return targetSide->isClosed(); });
+    CHECK(targetSide->isClosed());
+    CHECK(targetBench.runUntil([this] {
+        caller->receive();
+        return caller->isClosed();
+    }));
+}
+
+TEST(EndlessRelay, endlessHeadIsAnsweredAtOnce)
+{
+    startRelay("/s/x");
+    sendEndlessly("HTTP/1.1 200 OK\r\n", "name: value\r\n",
+                  [this] { return targetSide->isClosed(); });
+    CHECK(targetSide->isClosed());
+    CHECK(targetBench.runUntil([this] {
+        caller->receive();
+        return caller->received().find("HTTP/1.1 502") == 0;
+    }));
+}
