--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/unixtime.h"
 #include "daemon/requestfingerprint.h"
 #include "observe/logging.h"
 
@@ -37,13 +38,6 @@
     return options;
 }
 
-static std::uint64_t unixMilliseconds()
-{
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
-}
-
 static NodeRetryBudget::Options allowanceOptions(const EntrySettings &settings)
 {
     NodeRetryBudget::Options options;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/json.h"
+#include "base/unixtime.h"
 #include "daemon/operatorsapi.h"
 #include "daemon/poisonmessages.h"
 #include "observe/logging.h"
@@ -17,14 +18,6 @@
 static constexpr double RetryReserve = 10; ///< Retries that an idle service may spend at once.
 static constexpr double DefaultRetryShare = 0.1;
 
-// The start time in milliseconds grows from start to start of one VM's daemon, which keeps nothing.
-static Incarnation newIncarnation()
-{
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<Incarnation>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
-}
-
 static std::int64_t wallClockSeconds()
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
@@ -56,7 +49,8 @@
       m_keys(keys),
       m_loop(loop),
       m_random(entropySeed()),
-      m_incarnation(newIncarnation()),
+      // Grows from start to start of one VM's daemon, which keeps nothing.
+      m_incarnation(unixMilliseconds()),
       m_fetcher(loop.client(), loop.timers(), MaxFetchedBytes),
       m_platform(settings.platform, m_fetcher),
       m_link(loop.client(), m_fetcher, loop.timers()),
--- a/src/daemon/poisonexchange.cpp
+++ b/src/daemon/poisonexchange.cpp
@@ -185,12 +185,13 @@
                           && !m_recorded.contains(fingerprint);
     if (!isNeeded)
         return;
-    const PoisonRecord record{fingerprint, m_tracker.reportsOf(fingerprint)};
+    PoisonRecord record{fingerprint, "", m_tracker.reportsOf(fingerprint)};
+    record.subject = record.deaths.front().subject;
     std::string deaths;
     for (const PoisonReport &report : record.deaths)
         deaths += (deaths.empty() ? "" : ", ") + report.target.text();
     logLine(LogPart::Poison, LogLevel::Warning,
-            "Request " + fingerprintText(fingerprint) + " (" + record.deaths.front().subject
+            "Request " + fingerprintText(fingerprint) + " (" + record.subject
                     + ") is refused: " + deaths + " died while running it.");
     if (m_recorded.size() >= MaxRecords) {
         logLine(LogPart::Poison, LogLevel::Warning,
--- a/src/daemon/poisonmessages.cpp
+++ b/src/daemon/poisonmessages.cpp
@@ -187,7 +187,7 @@
 {
     Json::Value json(Json::objectValue);
     json["fingerprint"] = fingerprintText(record.fingerprint);
-    json["request"] = record.deaths.empty() ? "" : record.deaths.front().subject;
+    json["request"] = record.subject;
     json["written_ms"] = Json::UInt64(unixMilliseconds);
     json["deaths"] = encodePoisonReports(record.deaths);
     return writeJson(json);
@@ -207,10 +207,13 @@
     absl::StatusOr<std::vector<PoisonReport>> deaths = decodePoisonReports((*json)["deaths"]);
     if (!deaths.ok())
         return deaths.status();
+    if (deaths->empty())
+        return makeError(ErrorCode::JsonInvalid, "the record has no deaths");
     const std::uint64_t age = unixMilliseconds > *writtenAt ? unixMilliseconds - *writtenAt : 0;
     for (PoisonReport &death : *deaths)
         death.age += std::chrono::milliseconds(age);
-    return PoisonRecord{*fingerprint, *std::move(deaths)};
+    return PoisonRecord{*fingerprint, stringMember(*json, "request").value_or(""),
+                        *std::move(deaths)};
 }
 
 } // namespace currantwalk
--- a/src/daemon/poisonmessages.h
+++ b/src/daemon/poisonmessages.h
@@ -26,7 +26,8 @@
 struct PoisonRecord
 {
     std::uint64_t fingerprint = 0;
-    std::vector<PoisonReport> deaths;
+    std::string subject;              ///< Describes the request.
+    std::vector<PoisonReport> deaths; ///< At least one.
 };
 
 /// Returns the key of a request's record in the nodes' topic.
--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -9,7 +9,6 @@
 
 static constexpr const char *CatalogTopic = "catalog";
 static constexpr const char *TargetsTopic = "targets";
-static constexpr const char *RosterTopic = "roster";
 static constexpr const char *CallersHost = "10.9.0.1";
 static constexpr const char *PoisonMark = "poison";
 static constexpr std::uint16_t CallersPort = 80;
--- a/src/daemon/tests/entryfleet.h
+++ b/src/daemon/tests/entryfleet.h
@@ -136,6 +136,8 @@
 class EntryFleet
 {
 public:
+    static constexpr const char *RosterTopic = "roster";
+
     struct Options
     {
         std::uint64_t seed = 1;
--- a/src/daemon/tests/poisonfleettest.cpp
+++ b/src/daemon/tests/poisonfleettest.cpp
@@ -1,5 +1,6 @@
 #include <string>
 
+#include "daemon/poisonadmin.h"
 #include "daemon/tests/entryfleet.h"
 
 #include <CppUTest/TestHarness.h>
@@ -153,6 +154,48 @@
     checkContained("/stream/p");
 }
 
+TEST(PoisonFleet, operatorSeesWhyARequestIsRefusedAndClearsIt)
+{
+    build();
+    PoisonAdmin::Hooks hooks;
+    hooks.topic = fleet->store.topic(EntryFleet::RosterTopic, "operator");
+    hooks.writeRecord = [this](const std::string &key, const std::optional<std::string> &value,
+                               std::function<void(const absl::Status &)> callback) {
+        fleet->store.appendFrom("operator", EntryFleet::RosterTopic, key, value,
+                                std::move(callback));
+    };
+    hooks.unixMilliseconds = [] { return 0; };
+    PoisonAdmin admin(std::move(hooks));
+    std::vector<PoisonRecord> records;
+    const auto list = [&] {
+        admin.list([&records](const auto &listed) { records = *listed; });
+        fleet->run(100ms);
+    };
+    list();
+    STRCMP_EQUAL("no request is refused\n", renderPoisonRecords(records).c_str());
+    fleet->repeatPoison("/stream/p", 500ms, 5s);
+    fleet->run(6s);
+    list();
+    CHECK_EQUAL(1U, records.size());
+    CHECK_EQUAL(2U, records[0].deaths.size());
+    CHECK(renderPoisonRecords(records).find("POST /stream/p of o") != std::string::npos);
+
+    std::vector<absl::Status> results;
+    const auto note = [&results](const absl::Status &status) { results.push_back(status); };
+    admin.clear(records[0].fingerprint + 1, note);
+    admin.clear(records[0].fingerprint, note);
+    fleet->run(10s);
+    CHECK(errorCode(results[0]) == ErrorCode::NotFound);
+    CHECK(results[1].ok());
+    for (std::size_t node = 0; node < 7; ++node)
+        fleet->request(node, "POST", "/stream/p", "harmless now", fleet->innocents);
+    const std::uint32_t refused = fleet->poison.refusedAsPoisonous;
+    fleet->request(6, "POST", "/stream/p", "poison /stream/p", fleet->poison);
+    fleet->run(2s);
+    CHECK_EQUAL(refused, fleet->poison.refusedAsPoisonous);
+    CHECK_EQUAL(3U, fleet->crashesBy("/stream/p"));
+}
+
 TEST(PoisonFleet, requestThatSilencesItsServersIsRefused)
 {
     for (const char *path : {"/safe/p", "/once/p", "/stream/p"}) {
--- a/src/daemon/tests/poisonmessagestest.cpp
+++ b/src/daemon/tests/poisonmessagestest.cpp
@@ -63,10 +63,11 @@
 
 TEST(PoisonMessages, recordTellsTheAgeOfItsDeathsByTheTimeOfDay)
 {
-    const std::string text = encodePoisonRecord({Fingerprint, {report}}, WrittenAt);
+    const std::string text = encodePoisonRecord({Fingerprint, "GET /x of o", {report}}, WrittenAt);
     const auto later = decodePoisonRecord(text, WrittenAt + 60'000);
     CHECK(later.ok());
     CHECK_EQUAL(Fingerprint, later->fingerprint);
+    STRCMP_EQUAL("GET /x of o", later->subject.c_str());
     CHECK(later->deaths[0].age == 63s);
     CHECK(decodePoisonRecord(text, WrittenAt - 60'000)->deaths[0].age == 3s);
     for (const char *other : {"", "[]", "{}", R"({"fingerprint":"1","written_ms":1})"})
