A failed connection does not end the run of an earlier request

Cause: the end of each exchange released the run of its request at the target, also where the exchange had not connected. A later attempt that found the silent target unreachable so removed what was remembered of the earlier one, before the target was known to have died.

Change: only an exchange that has sent the request releases its run.

Evidence: silentTargetsAreBlamedThoughLaterAttemptsFailToConnect fails without the change.

--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -172,7 +172,8 @@
 // The target has just accepted the connection, so it is alive when the request is written.
 void RelaySession::noteRunning(std::uint64_t exchange)
 {
-    const TargetExchange &entry = m_exchanges.at(exchange);
+    TargetExchange &entry = m_exchanges.at(exchange);
+    entry.wasSent = true;
     m_services.poison.onRunning(m_fingerprint, entry.target, entry.incarnation);
     m_services.poison.setSubject(
             m_fingerprint, entry.target,
@@ -419,9 +420,10 @@
 
 void RelaySession::release(const TargetExchange &exchange)
 {
-    if (exchange.hasEnded)
+    // An exchange that sent nothing must not end the run of an earlier one.
+    if (exchange.wasSent && exchange.hasEnded)
         m_services.poison.onReleased(m_fingerprint, exchange.target, false);
-    else
+    else if (exchange.wasSent)
         m_services.poison.onAbandoned(m_fingerprint, exchange.target);
     m_services.placer.onEnded(exchange.target, load(), exchange.isWaiting);
     if (exchange.backup)
--- a/src/daemon/relaysession.h
+++ b/src/daemon/relaysession.h
@@ -70,6 +70,7 @@
         TargetId target;
         Incarnation incarnation = 0; ///< Of the target, as its entry says.
         bool isWaiting = true;       ///< No part of the answer has come.
+        bool wasSent = false;        ///< The target may run the request.
         bool hasEnded = false;       ///< The target has ended the answer or the connection.
         std::optional<TargetId> backup;
     };
--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -230,7 +230,8 @@
         return;
     }
     if (exchange->request().body.rfind(PoisonMark, 0) == 0)
-        m_poison[exchange->request().path].arrivals.push_back(m_net.timers().now());
+        m_poison[exchange->request().path].arrivals.push_back(
+                {m_net.timers().now(), exchange->remoteAddress()});
     const auto work = std::make_shared<Work>();
     work->exchange = std::move(exchange);
     work->exchange->onClosed([this, work] { end(work); });
@@ -625,8 +626,9 @@
     if (record.crashes.size() < BoundedCrashes)
         return 0;
     const TimePoint from = record.crashes[BoundedCrashes - 1] + slack;
-    return static_cast<std::size_t>(std::count_if(record.arrivals.begin(), record.arrivals.end(),
-                                                  [from](TimePoint when) { return when > from; }));
+    return static_cast<std::size_t>(std::count_if(
+            record.arrivals.begin(), record.arrivals.end(),
+            [from](const SimPoisonLog::Arrival &arrival) { return arrival.when > from; }));
 }
 
 } // namespace currantwalk
--- a/src/daemon/tests/entryfleet.h
+++ b/src/daemon/tests/entryfleet.h
@@ -63,7 +63,13 @@
 /// What servers have seen of the poisonous requests of one path.
 struct SimPoisonLog
 {
-    std::vector<TimePoint> arrivals;
+    struct Arrival
+    {
+        TimePoint when{};
+        std::string host; ///< Of the node that sent it.
+    };
+
+    std::vector<Arrival> arrivals;
     std::vector<TimePoint> crashes; ///< Of servers that had begun such a request.
 };
 
@@ -172,6 +178,8 @@
     bool isUp(std::size_t index) const { return m_nodes[index].node != nullptr; }
     EntryNode &node(std::size_t index) { return *m_nodes[index].node; }
     ZoneName zoneOf(std::size_t index) const;
+    std::string addressOf(std::size_t index) const;
+    std::size_t nodeCount() const { return m_nodes.size(); }
 
     /// Cuts a zone off from the other zones and the store.
     void cutZone(std::optional<std::string> zone) { m_cutZone = std::move(zone); }
@@ -223,7 +231,6 @@
     };
 
     EntryBindings bindings(const std::string &host, const std::weak_ptr<bool> &alive);
-    std::string addressOf(std::size_t index) const;
     bool isOneOf(const std::set<std::size_t> &nodes, const std::string &host) const;
     bool isCutFrom(const std::string &host, const std::string &other) const;
     void repeatInnocents(std::size_t index, Duration gap, TimePoint until);
--- a/src/daemon/tests/poisonfleettest.cpp
+++ b/src/daemon/tests/poisonfleettest.cpp
@@ -303,3 +303,25 @@
     fleet->run(5s);
     checkContained("/stream/p");
 }
+
+// A later attempt that finds the silent targets unreachable ends before it has sent anything.
+TEST(PoisonFleet, silentTargetsAreBlamedThoughLaterAttemptsFailToConnect)
+{
+    EntryFleet::Options options;
+    options.nodes = 1;
+    options.zones = 1;
+    options.plainServers = 2;
+    options.crash = SimEnd::Silent;
+    build(options);
+    for (const auto &server : fleet->servers)
+        server->options.restartAfter = 10s;
+    for (int attempt = 0; attempt < 4; ++attempt) {
+        fleet->request(0, "POST", "/safe/p", "poison", fleet->poison);
+        fleet->run(1500ms);
+    }
+    CHECK_EQUAL(2U, fleet->crashesBy("/safe/p"));
+    CHECK_EQUAL(0U, fleet->poison.refusedAsPoisonous);
+    fleet->request(0, "POST", "/safe/p", "poison", fleet->poison);
+    fleet->run(1s);
+    CHECK_EQUAL(1U, fleet->poison.refusedAsPoisonous);
+}
--- /dev/null
+++ b/src/daemon/tests/poisonsoak.cpp
@@ -0,0 +1,147 @@
+#include "daemon/tests/poisonsoak.h"
+
+#include <algorithm>
+
+namespace currantwalk {
+
+using namespace std::chrono_literals;
+
+// From the users' rules.
+static constexpr Duration Window = 3s;
+static constexpr std::size_t ToleratedCrashes = 3;
+static constexpr std::size_t ToleratedArrivals = 3;
+static constexpr Duration Span = 40s;
+// The longest time-out of a route, and some more.
+static constexpr Duration Rundown = 30s;
+
+PoisonSoak::PoisonSoak(std::uint64_t seed) : m_random(seed), m_fleet(fleetOptions(seed)) {}
+
+EntryFleet::Options PoisonSoak::fleetOptions(std::uint64_t seed)
+{
+    RandomSource random(seed ^ 0x50);
+    EntryFleet::Options options;
+    options.seed = seed;
+    options.nodes = 3 + random.uniformBelow(10);
+    if (random.chance(0.1))
+        options.nodes = 30;
+    options.plainServers = 3 + random.uniformBelow(4);
+    options.crash = random.chance(0.3) ? SimEnd::Silent : SimEnd::Reset;
+    options.doServersKeepIds = random.chance(0.3);
+    return options;
+}
+
+void PoisonSoak::note(const std::string &host, Duration span)
+{
+    m_disruptions.push_back({host, m_fleet.timers.now(), m_fleet.timers.now() + span});
+}
+
+void PoisonSoak::restart(std::size_t node, Duration downTime)
+{
+    if (!m_fleet.isUp(node))
+        return;
+    noteNode(node, downTime);
+    m_fleet.killNode(node);
+    m_fleet.timers.scheduleAfter(downTime, [this, node] { m_fleet.startNode(node); });
+}
+
+void PoisonSoak::disturb()
+{
+    const std::size_t node = m_random.uniformBelow(m_fleet.nodeCount());
+    SimServer &server = *m_fleet.servers[m_random.uniformBelow(m_fleet.servers.size())];
+    const Duration span = 500ms + m_random.jitter(3500ms);
+    switch (m_random.uniformBelow(9)) {
+    case 0:
+        restart(node, span);
+        break;
+    case 1:
+        for (std::size_t i = 0; i < m_fleet.nodeCount(); ++i) {
+            if (m_random.chance(0.6))
+                restart(i, span);
+        }
+        break;
+    case 2:
+        note("", span);
+        m_fleet.cutZone(m_fleet.zoneOf(node).text());
+        m_fleet.timers.scheduleAfter(span, [this] { m_fleet.cutZone(std::nullopt); });
+        break;
+    case 3:
+        note("", span);
+        m_fleet.setStoreUp(false);
+        m_fleet.timers.scheduleAfter(span, [this] { m_fleet.setStoreUp(true); });
+        break;
+    case 4:
+        noteNode(node, span);
+        m_fleet.nodesWithoutStore.insert(node);
+        m_fleet.timers.scheduleAfter(span, [this, node] { m_fleet.nodesWithoutStore.erase(node); });
+        break;
+    case 5:
+        m_fleet.nodesWithoutPeers.insert(node);
+        m_fleet.timers.scheduleAfter(span, [this, node] { m_fleet.nodesWithoutPeers.erase(node); });
+        break;
+    case 6:
+        server.crash(m_random.chance(0.5) ? SimEnd::Reset : SimEnd::Silent);
+        break;
+    case 7:
+        server.leave();
+        break;
+    default:
+        server.options.resetShare = 0.4;
+        m_fleet.timers.scheduleAfter(span, [&server] { server.options.resetShare = 0; });
+        break;
+    }
+}
+
+bool PoisonSoak::isInTouch(const std::string &host, TimePoint when) const
+{
+    return std::none_of(m_disruptions.begin(), m_disruptions.end(), [&](const Disruption &each) {
+        const bool isMeant = each.host.empty() || each.host == host;
+        return isMeant && each.from <= when && when <= each.until + Window;
+    });
+}
+
+std::size_t PoisonSoak::lateArrivals(const SimPoisonLog &log) const
+{
+    if (log.crashes.size() < ToleratedCrashes)
+        return 0;
+    const TimePoint from = log.crashes[ToleratedCrashes - 1] + Window;
+    return static_cast<std::size_t>(std::count_if(
+            log.arrivals.begin(), log.arrivals.end(), [&](const SimPoisonLog::Arrival &arrival) {
+                return arrival.when > from && isInTouch(arrival.host, arrival.when);
+            }));
+}
+
+PoisonSoak::Report PoisonSoak::run()
+{
+    const std::size_t requests = 1 + m_random.uniformBelow(3);
+    for (std::size_t i = 0; i < requests; ++i) {
+        static constexpr const char *Paths[] = {"/safe/p", "/once/p", "/stream/p"};
+        const std::string path = Paths[m_random.uniformBelow(3)] + std::to_string(i);
+        m_fleet.repeatPoison(path, 200ms + m_random.jitter(800ms), Span);
+    }
+    m_fleet.startInnocents(150ms, Span);
+    for (Duration elapsed(0); elapsed < Span;) {
+        const Duration pause = m_random.jitter(3s);
+        m_fleet.run(pause);
+        elapsed += pause;
+        disturb();
+    }
+    m_fleet.run(Rundown);
+
+    Report report;
+    for (const auto &[path, log] : m_fleet.poisonLogs) {
+        report.crashes = std::max(report.crashes, log.crashes.size());
+        report.lateArrivals = std::max(report.lateArrivals, lateArrivals(log));
+        if (lateArrivals(log) > ToleratedArrivals)
+            report.violation += path + " reached servers " + std::to_string(lateArrivals(log))
+                                + " times after it should have been refused; ";
+    }
+    if (m_fleet.poison.served > 0)
+        report.violation += "a poisonous request was served; ";
+    if (m_fleet.poison.open + m_fleet.innocents.open > 0)
+        report.violation += "requests were not answered; ";
+    report.served = m_fleet.innocents.served;
+    report.refusedAsPoisonous = m_fleet.innocents.refusedAsPoisonous;
+    return report;
+}
+
+} // namespace currantwalk
--- /dev/null
+++ b/src/daemon/tests/poisonsoak.h
@@ -0,0 +1,57 @@
+#ifndef CURRANTWALK_DAEMON_TESTS_POISONSOAK_H
+#define CURRANTWALK_DAEMON_TESTS_POISONSOAK_H
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "daemon/tests/entryfleet.h"
+
+namespace currantwalk {
+
+/// A deployment under random faults while requests that crash their servers come again and again,
+/// beside others.
+class PoisonSoak
+{
+public:
+    struct Report
+    {
+        std::string violation;   ///< Empty if the run kept the bounds.
+        std::size_t crashes = 0; ///< Most that one poisonous request has caused.
+        /// Most arrivals, of one request, later than the window after its third crash, sent by
+        /// nodes in touch.
+        std::size_t lateArrivals = 0;
+        std::uint32_t served = 0; ///< Of the harmless requests.
+        std::uint32_t refusedAsPoisonous = 0;
+    };
+
+    explicit PoisonSoak(std::uint64_t seed);
+
+    Report run();
+
+private:
+    /// A time in which the rules do not hold a node to their bounds.
+    struct Disruption
+    {
+        std::string host; ///< Empty: all nodes.
+        TimePoint from{};
+        TimePoint until{};
+    };
+
+    static EntryFleet::Options fleetOptions(std::uint64_t seed);
+    void disturb();
+    void restart(std::size_t node, Duration downTime);
+    void note(const std::string &host, Duration span);
+    void noteNode(std::size_t node, Duration span) { note(m_fleet.addressOf(node), span); }
+    bool isInTouch(const std::string &host, TimePoint when) const;
+    std::size_t lateArrivals(const SimPoisonLog &log) const;
+
+    RandomSource m_random;
+    EntryFleet m_fleet;
+    std::vector<Disruption> m_disruptions;
+};
+
+} // namespace currantwalk
+
+#endif // CURRANTWALK_DAEMON_TESTS_POISONSOAK_H
