A target whose address another has taken over counts as gone without notice

What callers saw: at-most-once requests that silence their servers reached them four times after their refusal was due.

Cause: an answer of another target at the address was taken for the old one's announcement that it leaves. Its silent end was then not counted, and peers were told of a leaving that it had never announced.

Change: such a target is marked as replaced, which is not announced to peers and lets its silent requests count.

--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -125,7 +125,7 @@
     };
     hooks.reportLost = [this](std::uint64_t exchange) { noteLost(exchange); };
     hooks.reportTargetReplaced = [this](const TargetId &target) {
-        m_services.targets.markLeaving(target);
+        m_services.targets.markReplaced(target);
     };
     return hooks;
 }
--- a/src/targets/servicetargets.cpp
+++ b/src/targets/servicetargets.cpp
@@ -84,6 +84,14 @@
     leave(known->second);
 }
 
+// It has ended without having announced that, so no notice of it goes to peers.
+void ServiceTargets::markReplaced(const TargetId &id)
+{
+    const auto known = m_targets.find(id);
+    if (known != m_targets.end() && known->second.phase != TargetPhase::Leaving)
+        leave(known->second);
+}
+
 // The notice does not apply to another start under the same id.
 void ServiceTargets::applyLeavingNotice(const LeavingNotice &notice)
 {
--- a/src/targets/servicetargets.h
+++ b/src/targets/servicetargets.h
@@ -93,9 +93,10 @@
     void remove(const TargetId &id);
     void onStoreLost() { m_isStoreLost = true; }
     void onStoreRecovered();
-    /// Called when the target, or whatever now answers at its endpoint, has reported that it is
-    /// leaving or that it is a different target.
+    /// Called when the target has reported that it is leaving.
     void markLeaving(const TargetId &id);
+    /// Called when another target answers at the target's endpoint.
+    void markReplaced(const TargetId &id);
     /// Applies a peer's notice that one start of a target is leaving; ignored for other starts.
     void applyLeavingNotice(const LeavingNotice &notice);
     /// Returns the targets that have announced recently that they are leaving.
--- a/src/targets/tests/servicetargetstest.cpp
+++ b/src/targets/tests/servicetargetstest.cpp
@@ -145,3 +145,12 @@
     targets.expire();
     LONGS_EQUAL(0, targets.size());
 }
+
+TEST(ServiceTargets, replacedTargetIsUsedNoMoreAndNotAnnounced)
+{
+    targets.update(TargetId("a"), entry());
+    targets.markReplaced(TargetId("a"));
+    CHECK(targets.find(TargetId("a"))->phase == TargetPhase::Leaving);
+    CHECK(!targets.find(TargetId("a"))->isLeavingAnnounced);
+    CHECK(targets.leavingNotices().empty());
+}
