--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -31,7 +31,7 @@
 {
     KeyedTopicHooks hooks;
     hooks.readNewest = [this, name, host](const std::string &, KeyedTopicHooks::PageCallback done) {
-        ++m_calls;
+        ++m_topics[name].calls;
         const bool isReached = canReach(host);
         answer(host, [this, name, isReached, done = std::move(done)] {
             if (!isReached)
@@ -50,7 +50,7 @@
     };
     hooks.readTail = [this, name, host](LogOffset from, Duration wait,
                                         KeyedTopicHooks::TailCallback done) {
-        ++m_calls;
+        ++m_topics[name].calls;
         if (!canReach(host)) {
             answer(host, [done = std::move(done)] {
                 done(makeError(ErrorCode::LogUnavailable, "unreachable"));
@@ -108,8 +108,7 @@
                           const std::optional<std::string> &value,
                           std::function<void(const absl::Status &)> callback)
 {
-    ++m_calls;
-    ++m_appends;
+    ++m_topics[topic].calls;
     const bool isReached = canReach(host);
     if (isReached)
         append(topic, key, value);
@@ -119,6 +118,12 @@
     });
 }
 
+std::uint64_t SimStore::calls(const std::string &topic) const
+{
+    const auto it = m_topics.find(topic);
+    return it == m_topics.end() ? 0 : it->second.calls;
+}
+
 std::map<std::string, std::string> SimStore::newest(const std::string &topic) const
 {
     std::map<std::string, std::string> values;
@@ -377,6 +382,12 @@
     return ZoneName("z" + std::to_string(index % m_options.zones));
 }
 
+std::string EntryFleet::zoneOfHost(const std::string &host) const
+{
+    const auto zone = m_zoneOfHost.find(host);
+    return zone == m_zoneOfHost.end() ? "" : zone->second;
+}
+
 bool EntryFleet::isOneOf(const std::set<std::size_t> &nodes, const std::string &host) const
 {
     return std::any_of(nodes.begin(), nodes.end(),
--- a/src/daemon/tests/entryfleet.h
+++ b/src/daemon/tests/entryfleet.h
@@ -32,8 +32,8 @@
     /// Returns whether \a host reaches the store; all do if it is not set.
     std::function<bool(const std::string &host)> isReachable;
 
-    std::uint64_t calls() const { return m_calls; }
-    std::uint64_t appends() const { return m_appends; }
+    /// Returns the number of calls that nodes made on a topic.
+    std::uint64_t calls(const std::string &topic) const;
 
 private:
     struct Reader
@@ -47,6 +47,7 @@
     {
         std::vector<KeyedRecord> records;
         std::map<std::uint64_t, Reader> waiting;
+        std::uint64_t calls = 0;
     };
 
     bool canReach(const std::string &host) const { return !isReachable || isReachable(host); }
@@ -56,8 +57,6 @@
     VirtualTimerService &m_timers;
     std::map<std::string, Topic> m_topics;
     std::uint64_t m_lastReader = 0;
-    std::uint64_t m_calls = 0;
-    std::uint64_t m_appends = 0;
 };
 
 /// What servers have seen of the poisonous requests of one path.
@@ -179,6 +178,8 @@
     EntryNode &node(std::size_t index) { return *m_nodes[index].node; }
     ZoneName zoneOf(std::size_t index) const;
     std::string addressOf(std::size_t index) const;
+    /// Returns the zone of a node or server; empty for other hosts.
+    std::string zoneOfHost(const std::string &host) const;
     std::size_t nodeCount() const { return m_nodes.size(); }
 
     /// Cuts a zone off from the other zones and the store.
--- a/src/daemon/tests/simnet.cpp
+++ b/src/daemon/tests/simnet.cpp
@@ -18,7 +18,6 @@
 
     void start(HttpResponseHead head) override
     {
-        m_net.count(m_conversation->server, 100);
         toClient([head = std::move(head)](SimConversation &to) {
             if (to.hooks.onHead)
                 to.hooks.onHead(head);
@@ -27,7 +26,6 @@
 
     void write(std::string data) override
     {
-        m_net.count(m_conversation->server, data.size());
         toClient([data = std::move(data)](SimConversation &to) {
             if (to.hooks.onBody)
                 to.hooks.onBody(data);
@@ -167,18 +165,6 @@
     }
 }
 
-std::uint64_t SimNet::requestsTo(std::uint16_t port) const
-{
-    const auto it = m_traffic.find(port);
-    return it == m_traffic.end() ? 0 : it->second.requests;
-}
-
-std::uint64_t SimNet::bytesOf(std::uint16_t port) const
-{
-    const auto it = m_traffic.find(port);
-    return it == m_traffic.end() ? 0 : it->second.bytes;
-}
-
 std::unique_ptr<HttpCall> SimNet::send(const std::string &client, const HttpCallOptions &options,
                                        HttpRequest request, HttpCallHooks hooks)
 {
@@ -229,9 +215,8 @@
 
 void SimNet::accept(const std::shared_ptr<SimConversation> &conversation)
 {
-    Traffic &traffic = m_traffic[conversation->server.port];
-    ++traffic.requests;
-    traffic.bytes += 100 + conversation->request.body.size();
+    if (onRequest)
+        onRequest(conversation->client, conversation->server, conversation->request);
     deliver(conversation->client, conversation->server.address, [this, conversation] {
         const Endpoint &endpoint = conversation->server;
         const auto listener = m_listeners.find(endpoint);
--- a/src/daemon/tests/simnet.h
+++ b/src/daemon/tests/simnet.h
@@ -59,10 +59,9 @@
     /// Ends the listener and its exchanges.
     void close(const Endpoint &endpoint, SimEnd end);
 
-    /// Returns the number of requests that were sent to endpoints with \a port.
-    std::uint64_t requestsTo(std::uint16_t port) const;
-    /// Returns the bytes of requests and answers of endpoints with \a port.
-    std::uint64_t bytesOf(std::uint16_t port) const;
+    /// Called with each request that is sent; may be empty.
+    std::function<void(const std::string &from, const Endpoint &to, const HttpRequest &request)>
+            onRequest;
 
     std::unique_ptr<HttpCall> send(const std::string &client, const HttpCallOptions &options,
                                    HttpRequest request, HttpCallHooks hooks);
@@ -73,26 +72,18 @@
     void endServer(const std::shared_ptr<SimConversation> &conversation);
 
 private:
-    struct Traffic
-    {
-        std::uint64_t requests = 0;
-        std::uint64_t bytes = 0;
-    };
-
     friend class SimExchange;
 
     void connect(const std::shared_ptr<SimConversation> &conversation,
                  const HttpCallOptions &options);
     void accept(const std::shared_ptr<SimConversation> &conversation);
     bool canReach(const std::string &from, const std::string &to) const;
-    void count(const Endpoint &server, std::size_t bytes) { m_traffic[server.port].bytes += bytes; }
 
     VirtualTimerService &m_timers;
     std::map<std::string, NodeTimers *> m_hosts; ///< Other hosts run without timers of their own.
     std::map<Endpoint, HttpHandler> m_listeners;
     std::set<Endpoint> m_silent; ///< Endpoints that went silent.
     std::set<std::shared_ptr<SimConversation>> m_conversations;
-    std::map<std::uint16_t, Traffic> m_traffic; ///< By the server's port.
 };
 
 /// The event loop of one host of a SimNet.
