An error of a target does not clear a suspicion

What callers saw: nothing traced; found in review. A request that crashes its servers, and gets an error from some of them in between, was cleared by each error, so that its crashes were counted anew: four in the test's eight arrivals.

Cause: any complete answer counted as the request's completion.

Change: only a success clears. An error still shows that the target lives.

Evidence: requestIsRefusedThoughServersAnswerItWithErrorsInBetween failed with 4 crashes and passes.

--- a/src/calls/relaycall.cpp
+++ b/src/calls/relaycall.cpp
@@ -18,7 +18,7 @@
     return enumName(RelayStateNames, state);
 }
 
-static bool isSuccess(int status)
+bool isSuccessStatus(int status)
 {
     return status >= 200 && status < 300;
 }
@@ -156,7 +156,7 @@
     // A caller would understand such a status as a guarantee that the request has not run, so it is
     // not forwarded without the target's guarantee. A success without a signature may not come from
     // the target.
-    if (isNotRunStatus(head.status) || (isSuccess(head.status) && !head.isSigned)) {
+    if (isNotRunStatus(head.status) || (isSuccessStatus(head.status) && !head.isSigned)) {
         onUnusableAnswer(makeError(ErrorCode::TargetProtocolError,
                                    "the target answered with an invalid head"));
         return;
@@ -185,7 +185,7 @@
 {
     if (exchange != m_exchange || m_state != RelayState::Answering)
         return;
-    if (m_request.rule == RetrySemantics::Stream && isSuccess(m_head.status)) {
+    if (m_request.rule == RetrySemantics::Stream && isSuccessStatus(m_head.status)) {
         handleEvents(bytes);
         return;
     }
@@ -430,7 +430,7 @@
 
 void RelayCall::onResumeHead(const RelayAnswerHead &head)
 {
-    if (head.isMismatched || !isSuccess(head.status) || !head.isSigned) {
+    if (head.isMismatched || !isSuccessStatus(head.status) || !head.isSigned) {
         onResumeFailed(
                 makeError(ErrorCode::TargetRefused, "the target refused to resume the stream"));
         return;
--- a/src/calls/relaycall.h
+++ b/src/calls/relaycall.h
@@ -19,6 +19,9 @@
 
 namespace currantwalk {
 
+/// Returns whether an HTTP status is of the class 2xx.
+bool isSuccessStatus(int status);
+
 /// A request that is forwarded to a target byte for byte, with its answer returned unchanged.
 struct RelayRequest
 {
--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -110,7 +110,8 @@
     hooks.forwardHead = [this](std::uint64_t exchange) { forwardHead(exchange); };
     hooks.forwardBody = [this](std::string_view bytes) { forwardBody(bytes); };
     hooks.forwardEnd = [this] {
-        m_services.poison.onReleased(m_fingerprint, m_call->target(), true);
+        // An error does not show that the target can run the request.
+        m_services.poison.onReleased(m_fingerprint, m_call->target(), isSuccessStatus(m_status));
         m_exchange->finish();
         logOutcome("done", "");
     };
--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -264,6 +264,12 @@
 void SimServer::work(const std::shared_ptr<Work> &work)
 {
     const HttpRequest &request = work->exchange->request();
+    if (options.errorShare > 0 && m_random.chance(options.errorShare)) {
+        work->exchange->start({500, {}});
+        work->exchange->finish();
+        end(work);
+        return;
+    }
     const bool isPoison = request.body.rfind(PoisonMark, 0) == 0;
     if (isPoison && options.eventsBeforeCrash == 0) {
         m_net.timers().scheduleAfter(CrashDelay, [this, path = request.path, start = m_start] {
--- a/src/daemon/tests/entryfleet.h
+++ b/src/daemon/tests/entryfleet.h
@@ -92,6 +92,7 @@
         SimEnd crash = SimEnd::Reset;
         bool keepsId = false;  ///< Whether it starts again under its id.
         double resetShare = 0; ///< Of the requests that lose their connection.
+        double errorShare = 0; ///< Of the requests that get an error before they begin.
         /// Events that a crashing stream gets to write.
         std::uint32_t eventsBeforeCrash = 0;
     };
--- a/src/daemon/tests/poisonfleettest.cpp
+++ b/src/daemon/tests/poisonfleettest.cpp
@@ -288,6 +288,35 @@
     CHECK_EQUAL(0U, fleet->innocents.open);
 }
 
+TEST(PoisonFleet, recordOfAnExpiredRefusalIsDeleted)
+{
+    build(sized(1, 1));
+    const auto records = [this] {
+        std::size_t count = 0;
+        for (const auto &[key, value] : fleet->store.newest(EntryFleet::RosterTopic))
+            count += isPoisonRecordKey(key) ? 1 : 0;
+        return count;
+    };
+    fleet->repeatPoison("/stream/p", 500ms, 2s);
+    fleet->run(59min);
+    CHECK_EQUAL(1U, records());
+    fleet->run(3min);
+    CHECK_EQUAL(0U, records());
+}
+
+// An error tells that the server lives, not that the request is harmless.
+TEST(PoisonFleet, requestIsRefusedThoughServersAnswerItWithErrorsInBetween)
+{
+    build();
+    for (int round = 0; round < 8; ++round) {
+        for (const auto &server : fleet->servers)
+            server->options.errorShare = round % 2;
+        fleet->request(fleet->randomReadyNode(), "POST", "/once/p", "poison", fleet->poison);
+        fleet->run(4s);
+    }
+    checkContained("/once/p");
+}
+
 TEST(PoisonFleet, requestIsRefusedAtNinetyNodes)
 {
     build(sized(90, 4));
