Poison records: one log line a refusal, age by the own clock, old entries removed

Found in review: the line about a refused request was repeated at each try to record it while the store is away; a node with a wrong time of day could delete the records of all; the times at which targets were heard and had vanished were removed only when a request was given up. A record is now deleted an hour after a node has first seen it, and outdated entries go when a request is sent or a target ends.

Evidence: recordOfAnExpiredRefusalIsDeleted (59 minutes: there, 62: gone) passes before and after; the other two have no test of their own.

--- a/src/calls/poisontracker.cpp
+++ b/src/calls/poisontracker.cpp
@@ -33,8 +33,7 @@
 static constexpr Duration MinRestartTime = std::chrono::seconds(1);
 // How long the end of a silent target may take to become known.
 static constexpr Duration SilentDeathWindow = std::chrono::seconds(30);
-static constexpr Duration SuspicionLifetime = std::chrono::minutes(10);
-static constexpr Duration RefusalLifetime = std::chrono::hours(1);
+static constexpr Duration RemovalInterval = std::chrono::seconds(1);
 // Limit the memory and the messages that a flood of distinct requests can use.
 static constexpr std::size_t MaxSubjectBytes = 120;
 static constexpr std::size_t MaxEntries = 10000;
@@ -115,7 +114,7 @@
     bool isSilent(const Run &run) const;
     bool wasAnswering(const Run &run) const;
     void recordDeaths(const TargetId &target, const std::vector<Run> &runs);
-    void forgetOldSilence();
+    void removeOutdated();
     PoisonReport reportOf(const Run &run, const TargetId &target, std::size_t running) const;
     bool recordDeath(const PoisonReport &report);
     void evictRecords();
@@ -132,7 +131,7 @@
     std::unordered_map<TargetId, TimePoint> m_vanishedAt;
     std::unordered_map<TargetId, Lifetime> m_lifetimes;
     std::unordered_set<TargetId> m_blamedTargets; ///< Those of which a death is recorded.
-    TimePoint m_nextForgetting{};
+    TimePoint m_nextRemovalAt{};
 };
 
 } // namespace
@@ -204,6 +203,7 @@
 void PoisonTable::onRunning(std::uint64_t fingerprint, const TargetId &target,
                             Incarnation incarnation)
 {
+    removeOutdated();
     Run &run = findOrAddRun(fingerprint, target);
     if (run.incarnation != incarnation)
         run.startedAt = m_timers.now();
@@ -308,7 +308,6 @@
 
 void PoisonTable::onAbandoned(std::uint64_t fingerprint, const TargetId &target)
 {
-    forgetOldSilence();
     Run *const run = findRun(fingerprint, target);
     if (!run)
         return;
@@ -324,13 +323,13 @@
     onReleased(fingerprint, target, false);
 }
 
-// Looks at all runs, so not at each call.
-void PoisonTable::forgetOldSilence()
+// Looks at all entries, so not at each call.
+void PoisonTable::removeOutdated()
 {
     const TimePoint now = m_timers.now();
-    if (now < m_nextForgetting)
+    if (now < m_nextRemovalAt)
         return;
-    m_nextForgetting = now + SilencePeriod;
+    m_nextRemovalAt = now + RemovalInterval;
     const auto isOld = [now](const std::optional<TimePoint> &when) {
         return when && now - *when >= SilentDeathWindow;
     };
@@ -438,12 +437,14 @@
 
 void PoisonTable::onTargetDied(const TargetId &target, Incarnation incarnation)
 {
+    removeOutdated();
     recordDeaths(target, takeRuns(target, incarnation));
 }
 
 // A run that is silent to the node's own exchange is not over: its exchange still reports its end.
 void PoisonTable::onTargetVanished(const TargetId &target)
 {
+    removeOutdated();
     m_vanishedAt[target] = m_timers.now();
     const auto it = m_runs.find(target);
     if (it == m_runs.end())
--- a/src/calls/poisontracker.h
+++ b/src/calls/poisontracker.h
@@ -68,6 +68,9 @@
 class PoisonTracker
 {
 public:
+    static constexpr Duration SuspicionLifetime = std::chrono::minutes(10);
+    static constexpr Duration RefusalLifetime = std::chrono::hours(1);
+
     struct Entry
     {
         std::uint64_t fingerprint = 0;
--- a/src/daemon/poisonexchange.cpp
+++ b/src/daemon/poisonexchange.cpp
@@ -82,7 +82,7 @@
         return;
     m_unsent.lifetimes.push_back(lifetime);
     sendSoon();
-    for (const std::uint64_t fingerprint : m_recorded) {
+    for (const auto &[fingerprint, seenAt] : m_recorded) {
         if (m_tracker.suspicion(fingerprint) != Suspicion::Refused)
             deleteRecord(fingerprint);
     }
@@ -167,6 +167,22 @@
 }
 
 void PoisonExchange::onRefused(std::uint64_t fingerprint, Duration delay)
+{
+    if (m_logged.insert(fingerprint).second) {
+        std::string deaths;
+        std::string subject;
+        for (const PoisonReport &report : m_tracker.reportsOf(fingerprint)) {
+            deaths += (deaths.empty() ? "" : ", ") + report.target.text();
+            subject = report.subject;
+        }
+        logLine(LogPart::Poison, LogLevel::Warning,
+                "Request " + fingerprintText(fingerprint) + " (" + subject
+                        + ") is refused: " + deaths + " died while running it.");
+    }
+    scheduleRecord(fingerprint, delay);
+}
+
+void PoisonExchange::scheduleRecord(std::uint64_t fingerprint, Duration delay)
 {
     const bool isScheduled = delay > Duration::zero() && m_writeTimers.contains(fingerprint);
     if (m_recorded.contains(fingerprint) || isScheduled)
@@ -187,15 +203,10 @@
         return;
     PoisonRecord record{fingerprint, "", m_tracker.reportsOf(fingerprint)};
     record.subject = record.deaths.front().subject;
-    std::string deaths;
-    for (const PoisonReport &report : record.deaths)
-        deaths += (deaths.empty() ? "" : ", ") + report.target.text();
-    logLine(LogPart::Poison, LogLevel::Warning,
-            "Request " + fingerprintText(fingerprint) + " (" + record.subject
-                    + ") is refused: " + deaths + " died while running it.");
     if (m_recorded.size() >= MaxRecords) {
         logLine(LogPart::Poison, LogLevel::Warning,
-                "It is not recorded: the store has " + std::to_string(MaxRecords) + " records.");
+                "Request " + fingerprintText(fingerprint) + " is not recorded: the store has "
+                        + std::to_string(MaxRecords) + " records.");
         return;
     }
     m_hooks.writeRecord(
@@ -206,7 +217,7 @@
                 logLine(LogPart::Poison, LogLevel::Warning,
                         "Request " + fingerprintText(fingerprint)
                                 + " can't be recorded: " + std::string(status.message()));
-                onRefused(fingerprint, RecordRetry + m_random.jitter(RecordRetry));
+                scheduleRecord(fingerprint, RecordRetry + m_random.jitter(RecordRetry));
             });
 }
 
@@ -230,7 +241,7 @@
         logLine(LogPart::Poison, LogLevel::Warning, "The record " + key + " can't be read.");
         return;
     }
-    m_recorded.insert(*fingerprint);
+    m_recorded.try_emplace(*fingerprint, m_timers.now());
     for (const PoisonReport &report : record->deaths)
         m_tracker.onReport(report);
 }
@@ -247,12 +258,15 @@
                         });
 }
 
-// One of the nodes deletes a record whose refusal has expired, on average.
+// One of the nodes deletes a record whose refusal has expired, on average. The age of a record is
+// taken from when it was first seen, as the time of day may be wrong here.
 void PoisonExchange::deleteExpiredRecords()
 {
-    const std::vector<std::uint64_t> recorded(m_recorded.begin(), m_recorded.end());
-    for (const std::uint64_t fingerprint : recorded) {
-        const bool isExpired = m_tracker.reportsOf(fingerprint).empty();
+    std::erase_if(m_logged, [this](std::uint64_t fingerprint) {
+        return m_tracker.suspicion(fingerprint) != Suspicion::Refused;
+    });
+    for (const auto &[fingerprint, seenAt] : m_recorded) {
+        const bool isExpired = m_timers.now() - seenAt >= PoisonTracker::RefusalLifetime;
         if (isExpired && m_random.uniformBelow(m_nodes.size()) == 0)
             deleteRecord(fingerprint);
     }
--- a/src/daemon/poisonexchange.h
+++ b/src/daemon/poisonexchange.h
@@ -63,6 +63,7 @@
     std::vector<Endpoint> availablePeers() const;
     bool apply(const PoisonKnowledge &knowledge);
     void onRefused(std::uint64_t fingerprint, Duration delay);
+    void scheduleRecord(std::uint64_t fingerprint, Duration delay);
     void writeRecord(std::uint64_t fingerprint);
     void deleteRecord(std::uint64_t fingerprint);
     void deleteExpiredRecords();
@@ -76,7 +77,8 @@
     RandomSource &m_random;
     PoisonComparison m_comparison;
     PoisonKnowledge m_unsent;
-    std::set<std::uint64_t> m_recorded; ///< Requests that the store has a record of.
+    std::map<std::uint64_t, TimePoint> m_recorded; ///< When the store's records were first seen.
+    std::set<std::uint64_t> m_logged;              ///< Refused requests that have their log line.
     std::map<std::uint64_t, TimerId> m_writeTimers;
     TimerId m_sendTimer = NoTimer;
     TimerId m_expiryTimer = NoTimer;
