A request sent again to a target that was silent is a new run

The run of the earlier attempt was reused with its start and the time at which it was given up. So an answer seemed to show that the target had lived since the earlier start, through a crash in between, and the run was removed 30 s after it had been given up though it was in progress again.

Evidence: requestSentAgainToTheTargetThatWasSilentIsANewRun failed (a harmless request's death was withdrawn) and passes.

--- a/src/calls/poisontracker.cpp
+++ b/src/calls/poisontracker.cpp
@@ -205,8 +205,11 @@
 {
     removeOutdated();
     Run &run = findOrAddRun(fingerprint, target);
-    if (run.incarnation != incarnation)
+    if (run.incarnation != incarnation || run.abandonedAt) {
+        run = Run{};
+        run.fingerprint = fingerprint;
         run.startedAt = m_timers.now();
+    }
     run.incarnation = incarnation;
     run.hasStarted = true;
 }
--- a/src/calls/poisontracker.h
+++ b/src/calls/poisontracker.h
@@ -16,7 +16,7 @@
 
 enum class Suspicion {
     None,
-    Suspect, ///< Was sent to a target that died; runs alone on a target until it completes.
+    Suspect, ///< Was sent to a target that died, and has not completed since.
     /// Two targets died, at least one of them after it had started the request. Deaths that came
     /// long after the start count half.
     Refused,
@@ -52,8 +52,8 @@
 {
     TargetId target;
     Incarnation incarnation = 0;
-    Duration ageOfStart{0}; ///< Time since the first and the last sign of life.
-    Duration ageOfEnd{0};
+    Duration ageOfStart{0}; ///< Time since the first sign of life.
+    Duration ageOfEnd{0};   ///< Time since the last sign of life.
 };
 
 /// What nodes tell each other.
--- a/src/calls/tests/poisontest.cpp
+++ b/src/calls/tests/poisontest.cpp
@@ -289,3 +289,24 @@
         CHECK(!tracker->onClearing({Poison, tracker->clearings()[0].age - 10ms}));
     CHECK(tracker->clearings()[0].age == 10s);
 }
+
+// The earlier run's silence says nothing of the new one, nor that the target lived in between.
+TEST(PoisonTracker, requestSentAgainToTheTargetThatWasSilentIsANewRun)
+{
+    tracker->onRunning(Poison, first, 1);
+    tracker->onAbandoned(Poison, first);
+    timers.advance(10s);
+    tracker->onRunning(Harmless, first, 1);
+    tracker->onLost(Harmless, first, 1);
+    tracker->onReleased(Harmless, first, false);
+    timers.advance(10s);
+    tracker->onRunning(Poison, first, 1);
+    timers.advance(1s);
+    tracker->onAnswering(Poison, first);
+    CHECK(tracker->suspicion(Harmless) == Suspicion::Suspect);
+    timers.advance(20s);
+    tracker->onAnswering(Poison, first);
+    tracker->onRunning(Harmless, second, 1);
+    tracker->onTargetDied(first, 1);
+    CHECK(tracker->suspicion(Poison) == Suspicion::Suspect);
+}
--- a/src/daemon/poisonmessages.h
+++ b/src/daemon/poisonmessages.h
@@ -35,7 +35,7 @@
 bool isPoisonRecordKey(std::string_view key);
 /// Returns the request that a record's key names; nothing if it names none.
 std::optional<std::uint64_t> parsePoisonRecordKey(std::string_view key);
-/// Writes a record; the deaths get the time of day.
+/// Writes a record at the time of day \a unixMilliseconds, by which readers tell its age.
 std::string encodePoisonRecord(const PoisonRecord &record, std::uint64_t unixMilliseconds);
 /// Fails with JsonInvalid.
 absl::StatusOr<PoisonRecord> decodePoisonRecord(const std::string &text,
