In a large deployment the nodes of a zone tell their loads to one of them

Change: a node of a deployment of more than 24 nodes reports to the first node of its zone in a ranking that all nodes compute alike, and is answered with the sum of all other loads; these first nodes tell one another the sums of their zones. A generation is placed when that answer has come, or after 40 ms. Messages of a node no longer grow with the nodes, but for the first of a zone. Small deployments do as before.

Ruled out: messages at a bounded rate to all peers, as their loads would be a second old.

--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -86,9 +86,10 @@
                }})),
       m_incarnation(settings.incarnation != 0 ? settings.incarnation : unixMilliseconds()),
       m_roster({}, settings.vm),
+      m_readers({}, settings.vm, settings.zone, m_roster),
       m_peers(loop.client(), loop.timers(), settings.peerKey, false, m_metrics),
       m_loads(settings.vm, {settings.peers, settings.zone, m_incarnation}, m_peers, m_roster,
-              m_placer, m_targets,
+              m_readers, m_placer, m_targets,
               {[this] { return catalogNote(); },
                [this](const NodeRecord &peer, const CatalogNote &note, TimePoint sentAt) {
                    onCatalogNote(peer, note, sentAt);
@@ -237,6 +238,7 @@
             },
             [this] { return !m_drain->isReady(); },
             [this] { m_loads.onChange(); },
+            [this](std::function<void()> done) { m_loads.refresh(std::move(done)); },
             *m_poison,
             m_metrics};
 }
--- a/src/daemon/entrynode.h
+++ b/src/daemon/entrynode.h
@@ -96,6 +96,7 @@
     std::map<std::string, NodeRetryBudget> m_allowances;
     const Incarnation m_incarnation;
     NodeDirectory m_roster;
+    ReaderSelector m_readers;
     PeerLink m_peers;
     LoadExchange m_loads;
     PoisonExchange m_poisonExchange;
--- a/src/daemon/loadexchange.cpp
+++ b/src/daemon/loadexchange.cpp
@@ -1,24 +1,35 @@
 #include "daemon/loadexchange.h"
 
+#include <utility>
+
 #include "base/json.h"
 #include "observe/logging.h"
 
 namespace currantwalk {
 
 static constexpr const char *LoadsMethod = "loads";
+// What a message is, if not the loads of one node for all: a report to the zone's first node, or
+// the sum of a zone's loads.
+static constexpr const char *ReportKind = "report";
+static constexpr const char *ZoneKind = "zone";
+// A node of the same network answers within some milliseconds.
+static constexpr Duration ReportTimeout = std::chrono::milliseconds(750);
+// A request is placed by what is known after this time.
+static constexpr Duration RefreshTimeout = std::chrono::milliseconds(40);
 // Changes within this time go in one message.
 static constexpr Duration ChangeDelay = std::chrono::milliseconds(10);
 // A third of the time for which peers remember loads, so that two messages may be lost.
 static constexpr Duration RepeatInterval = std::chrono::milliseconds(500);
 
 LoadExchange::LoadExchange(VmId vm, NodeRecord self, PeerLink &peers, NodeDirectory &roster,
-                           TargetSelector &placer, const ServiceTargets &targets, Hooks hooks,
-                           TimerService &timers)
+                           ReaderSelector &readers, TargetSelector &placer,
+                           const ServiceTargets &targets, Hooks hooks, TimerService &timers)
     : m_vm(std::move(vm)),
       m_self(std::move(self)),
       m_hooks(std::move(hooks)),
       m_peers(peers),
       m_roster(roster),
+      m_readers(readers),
       m_placer(placer),
       m_targets(targets),
       m_timers(timers)
@@ -36,8 +47,7 @@
 {
     m_peers.server().addMethod(LoadsMethod,
                                [this](const Json::Value &message, const RpcResponder &responder) {
-                                   take(message);
-                                   responder(encodeCatalogNote(m_hooks.catalogNote()));
+                                   responder(answerTo(message));
                                });
     repeat();
 }
@@ -55,52 +65,48 @@
 void LoadExchange::repeat()
 {
     send();
+    sendZoneSums();
     m_repeatTimer = m_timers.scheduleAfter(RepeatInterval, [this] { repeat(); });
 }
 
-// In a small deployment each node hears of all targets, so that work can go to another zone when
-// its own is loaded. In a large one a zone's nodes hear only of the targets in their zone. An empty
-// message tells that nothing is in progress any more.
-std::map<ZoneName, InFlightLoads> LoadExchange::loadsByZone()
+// Requests without a prompt are short; their load has changed before it is told.
+InFlightLoads LoadExchange::ownGenerations() const
 {
-    const bool isSmall = m_roster.isSmall();
-    std::map<ZoneName, InFlightLoads> byZone;
-    for (const ZoneName &zone : m_roster.zones())
-        byZone[zone];
+    InFlightLoads loads;
     for (const auto &[id, load] : m_placer.ownLoads()) {
-        const ServiceTarget *const target = m_targets.find(id);
-        // Requests without a prompt are short; their load has changed before it is told.
-        if (!target || load.tokens == 0)
-            continue;
-        for (auto &[zone, loads] : byZone) {
-            if (isSmall || zone == target->entry.zone)
-                loads[id] = load;
-        }
+        if (load.tokens != 0)
+            loads[id] = load;
     }
-    for (auto it = byZone.begin(); it != byZone.end();) {
-        bool &hadLoads = m_hadLoads[it->first];
-        const bool isNeighbour = isSmall || it->first == m_self.zone;
-        const bool isTold = isNeighbour || hadLoads || !it->second.empty();
-        hadLoads = !it->second.empty();
-        it = isTold ? std::next(it) : byZone.erase(it);
-    }
-    return byZone;
+    return loads;
+}
+
+Json::Value LoadExchange::message(const InFlightLoads &loads)
+{
+    Json::Value message(Json::objectValue);
+    message["vm"] = m_vm.text();
+    message["self"] = encodeNodeRecord(m_self);
+    message["sequence"] = Json::UInt64(++m_sequence);
+    message["loads"] = encodeLoads(loads);
+    message["leaving"] = encodeLeaving(m_targets.leavingNotices());
+    return message;
 }
 
 void LoadExchange::send()
 {
-    std::map<ZoneName, InFlightLoads> byZone = loadsByZone();
-    ++m_sequence;
+    if (m_roster.isSmall())
+        sendToAll();
+    else
+        report();
+}
+
+// An empty message tells that nothing is in progress any more.
+void LoadExchange::sendToAll()
+{
     const TimePoint now = m_timers.now();
-    for (const auto &[zone, loads] : byZone) {
-        Json::Value message(Json::objectValue);
-        message["vm"] = m_vm.text();
-        message["self"] = encodeNodeRecord(m_self);
-        message["sequence"] = Json::UInt64(m_sequence);
-        message["loads"] = encodeLoads(loads);
-        message["leaving"] = encodeLeaving(m_targets.leavingNotices());
+    const Json::Value json = message(ownGenerations());
+    for (const ZoneName &zone : m_roster.zones()) {
         for (const auto &[peer, entry] : m_roster.availablePeersIn(zone, now)) {
-            m_peers.call(entry.peers, LoadsMethod, message,
+            m_peers.call(entry.peers, LoadsMethod, json,
                          [this, alive = m_alive, vm = peer, entry = entry,
                           now](const absl::StatusOr<Json::Value> &result) {
                              if (*alive)
@@ -110,6 +116,93 @@
     }
 }
 
+// A node to which others report passes on their loads with its own, so that all of a zone's loads
+// reach its first node, whoever each node takes for that.
+void LoadExchange::report(std::function<void()> done)
+{
+    const TimePoint now = m_timers.now();
+    const std::optional<ReaderSelector::Peer> first = m_readers.firstBefore(now);
+    if (!first) {
+        done();
+        return;
+    }
+    Json::Value json = message(m_placer.reportedLoads(now));
+    json["kind"] = ReportKind;
+    m_peers.call(first->record.peers, LoadsMethod, json, ReportTimeout,
+                 [this, alive = m_alive, first = *first, now,
+                  done = std::move(done)](const absl::StatusOr<Json::Value> &result) {
+                     if (!*alive)
+                         return;
+                     takeReportAnswer(first, result, now);
+                     done();
+                 });
+}
+
+void LoadExchange::refresh(std::function<void()> done)
+{
+    if (m_roster.isSmall()) {
+        done();
+        return;
+    }
+    const auto once = [callback = std::make_shared<std::function<void()>>(std::move(done))] {
+        if (*callback)
+            std::exchange(*callback, nullptr)();
+    };
+    m_timers.scheduleAfter(RefreshTimeout, once);
+    report(once);
+}
+
+void LoadExchange::sendZoneSums()
+{
+    const TimePoint now = m_timers.now();
+    if (m_roster.isSmall() || m_readers.firstBefore(now))
+        return;
+    Json::Value json = message(m_placer.reportedLoads(now));
+    json["kind"] = ZoneKind;
+    for (const ReaderSelector::Peer &reader : m_readers.readersOfOtherZones(now)) {
+        m_peers.call(
+                reader.record.peers, LoadsMethod, json, ReportTimeout,
+                [this, alive = m_alive, reader, now](const absl::StatusOr<Json::Value> &result) {
+                    if (!*alive)
+                        return;
+                    if (!result.ok())
+                        m_readers.onFailure(reader, m_timers.now());
+                    takeAnswer(reader.vm, reader.record, result, now);
+                });
+    }
+}
+
+void LoadExchange::takeReportAnswer(const ReaderSelector::Peer &peer,
+                                    const absl::StatusOr<Json::Value> &result, TimePoint sentAt)
+{
+    if (!result.ok())
+        m_readers.onFailure(peer, m_timers.now());
+    takeAnswer(peer.vm, peer.record, result, sentAt);
+    if (!result.ok() || !result->isObject())
+        return;
+    absl::StatusOr<InFlightLoads> others = decodeLoads((*result)["others"]);
+    const absl::StatusOr<std::vector<LeavingNotice>> leaving = decodeLeaving((*result)["leaving"]);
+    if (!others.ok() || !leaving.ok()) {
+        logLine(LogPart::Peers, LogLevel::Warning, "A peer's sum of loads can't be read.");
+        return;
+    }
+    m_placer.updateOtherLoads(std::move(*others), sentAt);
+    for (const LeavingNotice &target : *leaving)
+        m_hooks.onLeaving(target);
+}
+
+Json::Value LoadExchange::answerTo(const Json::Value &message)
+{
+    const bool isTaken = take(message);
+    Json::Value answer = encodeCatalogNote(m_hooks.catalogNote());
+    if (isTaken && message["kind"] == ReportKind) {
+        const VmId vm(message["vm"].asString());
+        answer["others"] = encodeLoads(m_placer.loadsBesides(vm, m_timers.now()));
+        answer["leaving"] = encodeLeaving(m_targets.leavingNotices());
+    }
+    return answer;
+}
+
 void LoadExchange::takeAnswer(const VmId &vm, const NodeRecord &peer,
                               const absl::StatusOr<Json::Value> &result, TimePoint sentAt)
 {
@@ -126,7 +219,7 @@
 
 // A node that has just started may not be able to read the roster; it learns its peers from their
 // messages.
-void LoadExchange::take(const Json::Value &message)
+bool LoadExchange::take(const Json::Value &message)
 {
     const absl::StatusOr<std::string> vm = stringMember(message, "vm");
     const absl::StatusOr<std::string> self = stringMember(message, "self");
@@ -143,13 +236,17 @@
                                        makeError(ErrorCode::JsonInvalid, "no object"));
     if (!vm.ok() || !entry.ok() || !sequence.ok() || !loads.ok() || !leaving.ok()) {
         logLine(LogPart::Peers, LogLevel::Warning, "A peer's loads can't be read.");
-        return;
+        return false;
     }
     m_roster.update(VmId(*vm), *entry);
-    m_placer.updatePeerLoads(VmId(*vm), entry->incarnation, *sequence, std::move(*loads),
-                             m_timers.now());
+    if (message["kind"] == ZoneKind)
+        m_placer.updateZoneLoads(entry->zone, std::move(*loads), m_timers.now());
+    else
+        m_placer.updatePeerLoads(VmId(*vm), entry->incarnation, *sequence, std::move(*loads),
+                                 m_timers.now());
     for (const LeavingNotice &target : *leaving)
         m_hooks.onLeaving(target);
+    return true;
 }
 
 Json::Value encodeCatalogNote(const CatalogNote &note)
--- a/src/daemon/loadexchange.h
+++ b/src/daemon/loadexchange.h
@@ -2,7 +2,7 @@
 #define CURRANTWALK_DAEMON_LOADEXCHANGE_H
 
 #include "daemon/peerlink.h"
-#include "membership/nodedirectory.h"
+#include "membership/readerselector.h"
 #include "routing/targetselector.h"
 #include "targets/servicetargets.h"
 
@@ -15,10 +15,15 @@
     std::optional<Duration> age; ///< Since when it may not be the newest; nothing: never proven.
 };
 
-/// Tells the nodes in the zone of each target what this node has in progress there, soon after it
-/// changes and again before they would forget it, and which targets it has heard are leaving. Each
-/// answer tells what the peer
-/// knows of the catalogue, so that a node which can't read the store learns it from those that can.
+/// Tells other nodes what this node has in progress at each target, soon after it changes and again
+/// before they would forget it, and which targets it has heard are leaving. Each answer tells what
+/// the peer knows of the catalogue, so that a node which can't read the store learns it from those
+/// that can.
+///
+/// In a small deployment each node tells all others. In a large one it tells the node that reads
+/// the store for its zone, which answers with the sum of what all others have in progress; these
+/// nodes tell one another the sums of their zones. The messages of a node then do not grow with the
+/// number of nodes, but for the one node of each zone.
 class LoadExchange
 {
 public:
@@ -33,8 +38,8 @@
     };
 
     LoadExchange(VmId vm, NodeRecord self, PeerLink &peers, NodeDirectory &roster,
-                 TargetSelector &placer, const ServiceTargets &targets, Hooks hooks,
-                 TimerService &timers);
+                 ReaderSelector &readers, TargetSelector &placer, const ServiceTargets &targets,
+                 Hooks hooks, TimerService &timers);
     ~LoadExchange();
     LoadExchange(const LoadExchange &) = delete;
     LoadExchange &operator=(const LoadExchange &) = delete;
@@ -43,12 +48,22 @@
     void start();
     /// The node's own loads have changed.
     void onChange();
+    /// Calls \a done once the loads of other nodes are as recent as one message can make them, or
+    /// when that takes too long; at once in a small deployment.
+    void refresh(std::function<void()> done);
 
 private:
-    std::map<ZoneName, InFlightLoads> loadsByZone();
+    InFlightLoads ownGenerations() const;
+    Json::Value message(const InFlightLoads &loads);
     void send();
+    void sendToAll();
+    void report(std::function<void()> done = [] {});
+    void sendZoneSums();
     void repeat();
-    void take(const Json::Value &message);
+    Json::Value answerTo(const Json::Value &message);
+    bool take(const Json::Value &message);
+    void takeReportAnswer(const ReaderSelector::Peer &peer,
+                          const absl::StatusOr<Json::Value> &result, TimePoint sentAt);
     void takeAnswer(const VmId &vm, const NodeRecord &peer,
                     const absl::StatusOr<Json::Value> &result, TimePoint sentAt);
 
@@ -57,13 +72,13 @@
     const Hooks m_hooks;
     PeerLink &m_peers;
     NodeDirectory &m_roster;
+    ReaderSelector &m_readers;
     TargetSelector &m_placer;
     const ServiceTargets &m_targets;
     TimerService &m_timers;
     std::uint64_t m_sequence = 0;
     TimerId m_changeTimer = NoTimer;
     TimerId m_repeatTimer = NoTimer;
-    std::map<ZoneName, bool> m_hadLoads; ///< Zones whose nodes know of loads of this one.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/daemon/peerlink.cpp
+++ b/src/daemon/peerlink.cpp
@@ -29,7 +29,13 @@
 void PeerLink::call(const Endpoint &peer, const std::string &method, const Json::Value &params,
                     RpcClient::Callback callback)
 {
-    m_client->call(peer, method, params, CallTimeout, std::move(callback));
+    call(peer, method, params, CallTimeout, std::move(callback));
+}
+
+void PeerLink::call(const Endpoint &peer, const std::string &method, const Json::Value &params,
+                    Duration timeout, RpcClient::Callback callback)
+{
+    m_client->call(peer, method, params, timeout, std::move(callback));
 }
 
 void PeerLink::askReaders(const std::vector<Member> &members, const GenerationId &generation,
--- a/src/daemon/peerlink.h
+++ b/src/daemon/peerlink.h
@@ -26,6 +26,9 @@
     void notify(const Endpoint &peer, const std::string &method, const Json::Value &message);
     void call(const Endpoint &peer, const std::string &method, const Json::Value &params,
               RpcClient::Callback callback);
+    /// Calls a method that may take up to \a timeout.
+    void call(const Endpoint &peer, const std::string &method, const Json::Value &params,
+              Duration timeout, RpcClient::Callback callback);
     /// Asks whether any of \a members reads the generation; also true where one did not answer.
     void askReaders(const std::vector<Member> &members, const GenerationId &generation,
                     const std::function<void(bool isRead)> &callback);
--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -142,6 +142,21 @@
         if (*alive)
             setPaused(false);
     });
+    // Generations fill a target's memory, so what other nodes have just sent there matters.
+    if (load().promptTokens == 0) {
+        begin();
+        return;
+    }
+    m_services.refreshLoads([this, alive = m_alive] {
+        if (*alive)
+            begin();
+    });
+}
+
+void RelaySession::begin()
+{
+    if (m_call->isSettled())
+        return;
     m_call->start();
     finishIfSettled();
 }
--- a/src/daemon/relaysession.h
+++ b/src/daemon/relaysession.h
@@ -38,6 +38,8 @@
     std::function<void(HttpExchange &exchange, const EntryRefusal &refusal)> refuse;
     std::function<bool()> isStopping;
     std::function<void()> loadsChanged;
+    /// Calls \a done when the loads of other nodes are known as well as they can be soon.
+    std::function<void(std::function<void()> done)> refreshLoads;
     PoisonTracker &poison;
     Metrics &metrics;
 };
@@ -75,6 +77,7 @@
         std::optional<TargetId> backup;
     };
 
+    void begin();
     RelayRequest relayRequest() const;
     RelayHooks relayHooks();
     RequestLoad load() const;
--- a/src/daemon/tests/loadexchangetest.cpp
+++ b/src/daemon/tests/loadexchangetest.cpp
@@ -48,7 +48,8 @@
           roster({}, VmId(name)),
           peers(bench.loop->client(), bench.loop->timers(), "a shared key of a test", false,
                 metrics),
-          exchange(VmId(name), self, peers, roster, placer, targets,
+          readers({}, VmId(name), self.zone, roster),
+          exchange(VmId(name), self, peers, roster, readers, placer, targets,
                    {[this] { return own; },
                     [this](const NodeRecord &, const CatalogNote &note, TimePoint sentAt) {
                         notes.push_back(note);
@@ -73,6 +74,7 @@
     TargetSelector placer{{}, random};
     NodeDirectory roster;
     PeerLink peers;
+    ReaderSelector readers;
     LoadExchange exchange;
 };
 
--- a/src/membership/nodedirectory.cpp
+++ b/src/membership/nodedirectory.cpp
@@ -61,6 +61,16 @@
     return peers;
 }
 
+std::vector<std::pair<VmId, NodeRecord>> NodeDirectory::peersIn(const ZoneName &zone) const
+{
+    std::vector<std::pair<VmId, NodeRecord>> peers;
+    for (const auto &[vm, node] : m_nodes) {
+        if (vm != m_self && node.entry.zone == zone)
+            peers.emplace_back(vm, node.entry);
+    }
+    return peers;
+}
+
 std::set<ZoneName> NodeDirectory::zones() const
 {
     std::set<ZoneName> zones;
--- a/src/membership/nodedirectory.h
+++ b/src/membership/nodedirectory.h
@@ -51,6 +51,8 @@
     /// Returns the peers in \a zone that are not in backoff.
     std::vector<std::pair<VmId, NodeRecord>> availablePeersIn(const ZoneName &zone,
                                                               TimePoint now) const;
+    /// Returns the peers in \a zone, including those in backoff.
+    std::vector<std::pair<VmId, NodeRecord>> peersIn(const ZoneName &zone) const;
     /// Returns the number of known nodes, including this one.
     std::size_t size() const;
     /// Returns whether there are so few nodes that each of them can notify all others.
--- a/src/routing/targetselector.cpp
+++ b/src/routing/targetselector.cpp
@@ -120,9 +120,53 @@
     };
     add(m_own);
     for (const auto &[vm, peer] : m_peers) {
-        if (now - peer.receivedAt < m_options.peerLoadLifetime)
+        if (isCurrent(peer, now))
             add(peer.loads);
     }
+    for (const InFlightLoads *const loads : outsideLoads(now))
+        add(*loads);
+    return sum;
+}
+
+// A node that reports to a peer hears from it of all others; a node that reports to none hears from
+// such nodes of other zones.
+std::vector<const InFlightLoads *> TargetSelector::outsideLoads(TimePoint now) const
+{
+    if (m_others.receivedAt != TimePoint{} && isCurrent(m_others, now))
+        return {&m_others.loads};
+    std::vector<const InFlightLoads *> outside;
+    for (const auto &[zone, loads] : m_zones) {
+        if (isCurrent(loads, now))
+            outside.push_back(&loads.loads);
+    }
+    return outside;
+}
+
+static void addLoads(InFlightLoads &sum, const InFlightLoads &loads)
+{
+    for (const auto &[target, load] : loads)
+        sum[target] += load;
+}
+
+InFlightLoads TargetSelector::reportedLoads(TimePoint now) const
+{
+    InFlightLoads sum = m_own;
+    for (const auto &[vm, peer] : m_peers) {
+        if (isCurrent(peer, now))
+            addLoads(sum, peer.loads);
+    }
+    return sum;
+}
+
+InFlightLoads TargetSelector::loadsBesides(const VmId &excluded, TimePoint now) const
+{
+    InFlightLoads sum = m_own;
+    for (const auto &[vm, peer] : m_peers) {
+        if (vm != excluded && isCurrent(peer, now))
+            addLoads(sum, peer.loads);
+    }
+    for (const InFlightLoads *const loads : outsideLoads(now))
+        addLoads(sum, *loads);
     return sum;
 }
 
--- a/src/routing/targetselector.h
+++ b/src/routing/targetselector.h
@@ -92,6 +92,21 @@
     /// Replaces the loads of the node \a vm. Ignores messages that are not newer than the last one.
     void updatePeerLoads(const VmId &vm, Incarnation incarnation, std::uint64_t sequence,
                          InFlightLoads loads, TimePoint now);
+    /// Returns the loads of this node and of the peers that report to it.
+    InFlightLoads reportedLoads(TimePoint now) const;
+    /// Returns the loads that this node knows of, other than those that \a vm reported.
+    InFlightLoads loadsBesides(const VmId &vm, TimePoint now) const;
+    /// Replaces the loads of all nodes other than this one and those that report to it, as the peer
+    /// that this node reports to knows them.
+    void updateOtherLoads(InFlightLoads loads, TimePoint now)
+    {
+        m_others = {0, 0, now, std::move(loads)};
+    }
+    /// Replaces the sum of the loads of the nodes in \a zone, another one.
+    void updateZoneLoads(const ZoneName &zone, InFlightLoads loads, TimePoint now)
+    {
+        m_zones[zone] = {0, 0, now, std::move(loads)};
+    }
     /// Returns the weighted load in flight at \a target, in requests.
     double weightedLoad(const TargetId &target, TimePoint now) const;
 
@@ -108,7 +123,14 @@
     RandomSource &m_random;
     InFlightLoads m_own;
     std::map<VmId, PeerLoads> m_peers;
+    std::map<ZoneName, PeerLoads> m_zones;
+    PeerLoads m_others;
 
+    bool isCurrent(const PeerLoads &loads, TimePoint now) const
+    {
+        return now - loads.receivedAt < m_options.peerLoadLifetime;
+    }
+    std::vector<const InFlightLoads *> outsideLoads(TimePoint now) const;
     InFlightLoad totalLoadAt(const TargetId &target, TimePoint now) const;
 };
 
