One node of each zone reads the store for the others

Change: all nodes of a zone rank themselves alike by a hash of their ids. Each asks the first that answers, at most two, then the store, then the reader of another zone; a node that is asked reads the store for 3 s more. Questions wait at the reader for 750 ms, so a silent one is noticed within a second; answers carry the time up to which they are proven, relative to the question, so that neither a paused reader nor a delayed message makes anything look fresh. A reader that has lost the store says so at once. While the store is away for all, one node of a zone tries it in each round beside its readers. After a restore, nodes write their records and refused requests again, spread over a second; one record tells nodes that start that the writers have had their time.

Ruled out: long polls by two readers a zone, twice the calls for a succession that takes a second anyway; passing on by pushing, which can't tell how long a message was on its way.

Evidence: tests StoreReaders (a reader, and its successor, killed, suspended, without the store, with a silent store, without peers; 7, 30, 90 and 195 nodes), StoreRestore (7 and 90 nodes), LoadSums. Seeded defects: with every node reading 3 of them fail, with old proofs passed on as fresh 3, with the era left unread 7, with the first era taken as settled 1, with the content not compared 1.

--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -55,7 +55,8 @@
     if (!status.ok())
         return status;
     node->createDrain();
-    node->createFollowers();
+    node->createCatalogFollower();
+    node->createTargetsFollower();
     node->createPeers();
     node->tick();
     return node;
@@ -88,6 +89,7 @@
       m_roster({}, settings.vm),
       m_readers({}, settings.vm, settings.zone, m_roster),
       m_peers(loop.client(), loop.timers(), settings.peerKey, false, m_metrics),
+      m_topics({}, m_readers, m_peers, loop.timers(), m_random),
       m_loads(settings.vm, {settings.peers, settings.zone, m_incarnation}, m_peers, m_roster,
               m_readers, m_placer, m_targets,
               {[this] { return catalogNote(); },
@@ -106,6 +108,7 @@
 {
     m_loop.timers().cancel(m_tickTimer);
     m_loop.timers().cancel(m_announceTimer);
+    m_loop.timers().cancel(m_eraTimer);
 }
 
 absl::Status EntryNode::listen()
--- a/src/daemon/entrynode.h
+++ b/src/daemon/entrynode.h
@@ -9,6 +9,7 @@
 #include "daemon/loadexchange.h"
 #include "daemon/poisonexchange.h"
 #include "daemon/relaysession.h"
+#include "daemon/topicexchange.h"
 #include "drain/drain.h"
 #include "limits/noderetrybudget.h"
 #include "net/eventloop.h"
@@ -40,16 +41,28 @@
     const Endpoint &callersEndpoint() const { return m_callersEndpoint; }
 
 private:
+    enum class CatalogSource {
+        Store, ///< Read by this node, or passed on by the node that reads for its zone.
+        Peer,  ///< A peer's newer catalogue.
+    };
+
     EntryNode(const EntrySettings &settings, EntryBindings bindings, EventLoop &loop);
 
     absl::Status listen();
     absl::Status listenForMetrics();
     void refreshGauges();
-    void createFollowers();
+    void createCatalogFollower();
+    void createTargetsFollower();
+    void startFollowers();
     void createPeers();
     void announce();
+    void announceLater(Duration delay);
+    void onRosterRestored();
+    void recordSettledEra(std::uint64_t era);
+    void onTopicRestored(SharedTopic topic, std::uint64_t earlier, std::uint64_t era);
     void leaveRoster();
     void takeRosterRecord(const KeyedRecord &record);
+    void takeSettledEra(const std::string &text);
     bool isRosterAwaited() const;
     void createDrain();
     RelayServices relayServices();
@@ -67,7 +80,7 @@
     void askTarget(const ServiceTarget &target);
     void onTargetLeaving(const ServiceTarget &target);
     void takeCatalog(const KeyedRecord &record);
-    void takeCatalogText(const std::string &text);
+    void takeCatalogText(const std::string &text, CatalogSource source);
     CatalogNote catalogNote() const;
     void onCatalogNote(const NodeRecord &peer, const CatalogNote &note, TimePoint sentAt);
     void fetchCatalog(const NodeRecord &peer);
@@ -98,6 +111,7 @@
     NodeDirectory m_roster;
     ReaderSelector m_readers;
     PeerLink m_peers;
+    TopicExchange m_topics;
     LoadExchange m_loads;
     PoisonExchange m_poisonExchange;
     std::unique_ptr<KeyedTopicFollower> m_rosterFollower;
@@ -108,8 +122,15 @@
     std::unordered_map<RelaySession *, std::unique_ptr<RelaySession>> m_sessions;
     TimerId m_tickTimer = NoTimer;
     TimerId m_announceTimer = NoTimer;
+    TimerId m_eraTimer = NoTimer;
     std::optional<TimePoint> m_targetsProvenAt; ///< Up to which their entries are known.
     bool m_isRosterRead = false;                ///< All its records have been read once.
+    bool m_areFollowersStarted = false;
+    /// Version of the catalogue that the store, or its copy, was last seen to hold.
+    std::uint64_t m_storedCatalogVersion = 0;
+    /// The store was restored, and this node's record has not been read since.
+    bool m_isAnnouncementMissing = false;
+    std::uint64_t m_settledEra = 0; ///< Highest era that a node has recorded as settled.
     bool m_isStopped = false;
 };
 
--- a/src/daemon/entrynodestore.cpp
+++ b/src/daemon/entrynodestore.cpp
@@ -3,6 +3,8 @@
 #include "daemon/entrynode.h"
 #include "daemon/poisonmessages.h"
 
+#include <absl/strings/numbers.h>
+
 #include "observe/logging.h"
 
 namespace currantwalk {
@@ -14,7 +16,7 @@
 static constexpr Duration CatalogRetry = std::chrono::milliseconds(500);
 // A poll whose connection has gone silent is noticed after this and the call's own time-out, within
 // the time that a target which leaves may still be sent requests.
-static constexpr Duration TargetsWait = std::chrono::milliseconds(1500);
+static constexpr Duration TargetsWait = std::chrono::milliseconds(1000);
 // An answer of the store may take this much longer than the poll asked for.
 static constexpr Duration AnswerSlack = std::chrono::milliseconds(150);
 static constexpr Duration ReportTimeout = std::chrono::milliseconds(1000);
@@ -22,64 +24,110 @@
 // The roster changes when nodes come and go; a call to the store is priced.
 static constexpr Duration RosterWait = std::chrono::seconds(25);
 static constexpr Duration RosterRetry = std::chrono::seconds(3);
+// Nodes that start together write their records one after the other.
+static constexpr Duration RosterPause = std::chrono::milliseconds(250);
+// Targets often leave in pairs; each read of the store is priced.
+static constexpr Duration TargetsPause = std::chrono::milliseconds(100);
+// Key of the roster's record of the highest era whose writers have had time to write again.
+static constexpr const char *EraKey = "settled-era";
+static constexpr Duration SettleTime = KeyedTopicFollower::RestoreGrace;
+// All nodes write after a restore; the store's rate of writes is shared by them.
+static constexpr Duration RestoreSpread = std::chrono::milliseconds(1000);
 
-void EntryNode::createFollowers()
+void EntryNode::createCatalogFollower()
 {
-    KeyedTopicCallbacks catalogEvents;
-    catalogEvents.onRecord = [this](const KeyedRecord &record) { takeCatalog(record); };
-    catalogEvents.onKeyRemoved = [](const std::string &) {};
-    catalogEvents.onUpToDate = [this](TimePoint when) { m_catalog.confirmNewest(when); };
-    catalogEvents.onReadFailed = [](const absl::Status &status) {
+    KeyedTopicCallbacks events;
+    events.onRecord = [this](const KeyedRecord &record) { takeCatalog(record); };
+    events.onKeyRemoved = [](const std::string &) {};
+    events.onUpToDate = [this](TimePoint when) { m_catalog.confirmNewest(when); };
+    events.onRestored = [this](std::uint64_t earlier, std::uint64_t era) {
+        m_storedCatalogVersion = 0;
+        onTopicRestored(SharedTopic::Catalog, earlier, era);
+    };
+    events.onReadFailed = [](const absl::Status &status) {
         logLine(LogPart::Config, LogLevel::Warning,
                 "The catalogue can't be read: " + std::string(status.message()));
     };
-    catalogEvents.onRecovered = [this] {
+    events.onRecovered = [this] {
         logLine(LogPart::Config, LogLevel::Info, "The catalogue can be read again.");
         m_targetsFollower->retryNow();
     };
-    KeyedTopicFollower::Options catalogOptions;
-    catalogOptions.wait = CatalogWait;
-    catalogOptions.maxRetry = CatalogRetry;
-    m_catalogFollower =
-            KeyedTopicFollower::create(catalogOptions, m_bindings.catalogTopic,
-                                       std::move(catalogEvents), m_loop.timers(), m_random);
-    KeyedTopicCallbacks targetEvents;
-    targetEvents.onRecord = [this](const KeyedRecord &record) { takeTarget(record); };
-    targetEvents.onKeyRemoved = [this](const std::string &key) { m_targets.remove(TargetId(key)); };
-    targetEvents.onUpToDate = [this](TimePoint when) { m_targetsProvenAt = when; };
-    targetEvents.onReadFailed = [this](const absl::Status &status) {
+    KeyedTopicFollower::Options options;
+    options.wait = CatalogWait;
+    options.maxRetry = CatalogRetry;
+    options.isEraSettled = [this](std::uint64_t era) { return m_settledEra >= era; };
+    // The copy that the store was restored from may hold an older catalogue than this node.
+    options.isContentCurrent = [this] {
+        return !m_catalog.current() || m_storedCatalogVersion >= m_catalog.current()->version();
+    };
+    m_catalogFollower = KeyedTopicFollower::create(
+            options, m_topics.hooks(SharedTopic::Catalog, m_bindings.catalogTopic),
+            m_topics.callbacks(SharedTopic::Catalog, std::move(events)), m_loop.timers(), m_random);
+}
+
+void EntryNode::createTargetsFollower()
+{
+    KeyedTopicCallbacks events;
+    events.onRecord = [this](const KeyedRecord &record) { takeTarget(record); };
+    events.onKeyRemoved = [this](const std::string &key) { m_targets.remove(TargetId(key)); };
+    events.onKeyLost = [this](const std::string &key) { m_targets.remove(TargetId(key)); };
+    events.onUpToDate = [this](TimePoint when) { m_targetsProvenAt = when; };
+    events.onRestored = [this](std::uint64_t earlier, std::uint64_t era) {
+        onTopicRestored(SharedTopic::Targets, earlier, era);
+    };
+    events.onPeerOutage = [this](Duration sinceOutage) { m_targets.onPeerOutage(sinceOutage); };
+    events.onReadFailed = [this](const absl::Status &status) {
         logLine(LogPart::Targets, LogLevel::Warning,
                 "The targets can't be read: " + std::string(status.message()));
         m_targets.onStoreLost();
     };
-    targetEvents.onRecovered = [this] {
+    events.onRecovered = [this] {
         logLine(LogPart::Targets, LogLevel::Info, "The targets can be read again.");
         m_targets.onStoreRecovered();
         m_catalogFollower->retryNow();
     };
-    KeyedTopicFollower::Options targetOptions;
-    targetOptions.wait = TargetsWait;
-    m_targetsFollower =
-            KeyedTopicFollower::create(targetOptions, m_bindings.targetsTopic,
-                                       std::move(targetEvents), m_loop.timers(), m_random);
-    m_catalogFollower->start();
-    m_targetsFollower->start();
+    KeyedTopicFollower::Options options;
+    options.wait = TargetsWait;
+    options.pause = TargetsPause;
+    m_targetsFollower = KeyedTopicFollower::create(
+            options, m_topics.hooks(SharedTopic::Targets, m_bindings.targetsTopic),
+            m_topics.callbacks(SharedTopic::Targets, std::move(events)), m_loop.timers(), m_random);
 }
 
 // Peers are a help, not a need: a node that can't reach the roster serves by what it knows itself.
 void EntryNode::createPeers()
 {
-    if (m_settings.peers.port == 0)
+    if (m_settings.peers.port == 0) {
+        startFollowers();
         return;
+    }
     KeyedTopicCallbacks events;
     events.onRecord = [this](const KeyedRecord &record) { takeRosterRecord(record); };
     events.onKeyRemoved = [this](const std::string &key) {
         takeRosterRecord({key, std::nullopt, 0});
     };
+    // The copy may lack what a node refused; only an operator withdraws that.
+    events.onKeyLost = [this](const std::string &key) {
+        if (!isPoisonRecordKey(key))
+            takeRosterRecord({key, std::nullopt, 0});
+    };
+    events.onRestored = [this](std::uint64_t earlier, std::uint64_t era) {
+        m_isAnnouncementMissing = true;
+        onTopicRestored(SharedTopic::Nodes, earlier, era);
+        m_poisonExchange.onRestored();
+    };
+    events.onPosition = [this](std::uint64_t era, LogOffset) {
+        startFollowers();
+        if (m_isAnnouncementMissing)
+            onRosterRestored();
+        if (era > m_settledEra)
+            recordSettledEra(era);
+    };
     events.onUpToDate = [this](TimePoint) { m_isRosterRead = true; };
-    events.onReadFailed = [](const absl::Status &status) {
+    events.onReadFailed = [this](const absl::Status &status) {
         logLine(LogPart::Peers, LogLevel::Warning,
                 "The roster can't be read: " + std::string(status.message()));
+        startFollowers();
     };
     events.onRecovered = [] {
         logLine(LogPart::Peers, LogLevel::Info, "The roster can be read again.");
@@ -87,18 +135,68 @@
     KeyedTopicFollower::Options options;
     options.wait = RosterWait;
     options.maxRetry = RosterRetry;
-    m_rosterFollower = KeyedTopicFollower::create(options, m_bindings.rosterTopic,
-                                                  std::move(events), m_loop.timers(), m_random);
+    options.pause = RosterPause;
+    m_rosterFollower = KeyedTopicFollower::create(
+            options, m_topics.hooks(SharedTopic::Nodes, m_bindings.rosterTopic),
+            m_topics.callbacks(SharedTopic::Nodes, std::move(events)), m_loop.timers(), m_random);
     m_rosterFollower->start();
     m_peers.server().addMethod(CatalogMethod,
                                [this](const Json::Value &, const RpcResponder &responder) {
                                    responder(Json::Value(m_catalogText));
                                });
+    m_topics.start();
     m_loads.start();
     m_poisonExchange.start();
     announce();
 }
 
+// The roster tells which peers may read the other topics for this node.
+void EntryNode::startFollowers()
+{
+    if (std::exchange(m_areFollowersStarted, true))
+        return;
+    m_catalogFollower->start();
+    m_targetsFollower->start();
+}
+
+void EntryNode::onTopicRestored(SharedTopic topic, std::uint64_t earlier, std::uint64_t era)
+{
+    const std::string name(sharedTopicName(topic));
+    logLine(LogPart::Config, LogLevel::Warning,
+            "The store was restored from a copy, era " + std::to_string(earlier) + " to "
+                    + std::to_string(era) + ", as the read of " + name
+                    + " shows; the topic is read again.");
+    m_metrics.count("currantwalk_store_restores_total", {{"topic", name}});
+}
+
+// The record was written to the store before it was restored. All nodes may miss theirs.
+void EntryNode::onRosterRestored()
+{
+    if (m_announceTimer == NoTimer && m_drain->isReady())
+        announceLater(m_random.jitter(RestoreSpread));
+}
+
+// A node that starts finds in the record that the writers of a restored store have had their time.
+// The nodes that read the store write it, after that time.
+void EntryNode::recordSettledEra(std::uint64_t era)
+{
+    if (m_eraTimer != NoTimer)
+        return;
+    m_eraTimer = m_loop.timers().scheduleAfter(SettleTime + m_random.jitter(RestoreSpread), [this,
+                                                                                             era] {
+        m_eraTimer = NoTimer;
+        if (m_settledEra >= era || m_rosterFollower->era() != era || !m_topics.isReader())
+            return;
+        m_bindings.writeRoster(EraKey, std::to_string(era), [era](const absl::Status &status) {
+            if (!status.ok())
+                logLine(LogPart::Peers, LogLevel::Warning,
+                        "Era " + std::to_string(era)
+                                + " of the store can't be recorded as settled: "
+                                + std::string(status.message()));
+        });
+    });
+}
+
 void EntryNode::announce()
 {
     const NodeRecord entry{m_settings.peers, m_settings.zone, m_incarnation};
@@ -108,11 +206,18 @@
                     return;
                 logLine(LogPart::Peers, LogLevel::Warning,
                         "The roster can't be written: " + std::string(status.message()));
-                m_announceTimer = m_loop.timers().scheduleAfter(
-                        RosterRetry + m_random.jitter(RosterRetry), [this] { announce(); });
+                announceLater(RosterRetry + m_random.jitter(RosterRetry));
             });
 }
 
+void EntryNode::announceLater(Duration delay)
+{
+    m_announceTimer = m_loop.timers().scheduleAfter(delay, [this] {
+        m_announceTimer = NoTimer;
+        announce();
+    });
+}
+
 void EntryNode::leaveRoster()
 {
     if (m_settings.peers.port == 0)
@@ -131,6 +236,10 @@
         m_poisonExchange.onRecord(record.key, record.value);
         return;
     }
+    if (record.key == EraKey) {
+        takeSettledEra(record.value.value_or(""));
+        return;
+    }
     const VmId vm(record.key);
     if (!record.value) {
         m_roster.remove(vm);
@@ -144,16 +253,28 @@
         return;
     }
     m_roster.update(vm, *entry);
+    if (vm == m_settings.vm && entry->incarnation == m_incarnation)
+        m_isAnnouncementMissing = false;
+}
+
+void EntryNode::takeSettledEra(const std::string &text)
+{
+    std::uint64_t era = 0;
+    if (!absl::SimpleAtoi(text, &era)) {
+        logLine(LogPart::Peers, LogLevel::Warning, "The record of settled eras can't be read.");
+        return;
+    }
+    m_settledEra = std::max(m_settledEra, era);
 }
 
 void EntryNode::takeCatalog(const KeyedRecord &record)
 {
     if (record.key != m_bindings.catalogKey || !record.value)
         return;
-    takeCatalogText(*record.value);
+    takeCatalogText(*record.value, CatalogSource::Store);
 }
 
-void EntryNode::takeCatalogText(const std::string &text)
+void EntryNode::takeCatalogText(const std::string &text, CatalogSource source)
 {
     absl::StatusOr<CatalogContent> content = m_bindings.readCatalog(text);
     if (!content.ok()) {
@@ -164,6 +285,8 @@
     const std::uint64_t version = content->version;
     const std::size_t routes = content->routes.size();
     const bool isNewer = m_catalog.apply(ServiceCatalog::create(std::move(*content)));
+    if (source == CatalogSource::Store)
+        m_storedCatalogVersion = std::max(m_storedCatalogVersion, version);
     if (isNewer)
         m_catalogText = text;
     logLine(LogPart::Config, LogLevel::Info,
@@ -197,7 +320,7 @@
                  [this](const absl::StatusOr<Json::Value> &result) {
                      m_isFetchingCatalog = false;
                      if (result.ok() && result->isString())
-                         takeCatalogText(result->asString());
+                         takeCatalogText(result->asString(), CatalogSource::Peer);
                      else
                          logLine(LogPart::Config, LogLevel::Info,
                                  "A peer's newer catalogue did not arrive.");
--- a/src/daemon/poisonexchange.cpp
+++ b/src/daemon/poisonexchange.cpp
@@ -17,6 +17,7 @@
 // The node that detected the last death writes the record; others only if it does not.
 static constexpr Duration RecordGrace = std::chrono::seconds(1);
 static constexpr Duration RecordRetry = std::chrono::seconds(3);
+static constexpr Duration RestoreSpread = std::chrono::seconds(1);
 static constexpr Duration ExpiryInterval = std::chrono::minutes(1);
 
 PoisonExchange::PoisonExchange(const ZoneName &zone, PoisonTracker &tracker, PeerLink &peers,
@@ -221,6 +222,16 @@
             });
 }
 
+// The first node to write spares the others the call, as they read its record.
+void PoisonExchange::onRestored()
+{
+    m_recorded.clear();
+    for (const PoisonTracker::Entry &entry : m_tracker.entries()) {
+        if (entry.suspicion == Suspicion::Refused)
+            scheduleRecord(entry.fingerprint, m_random.jitter(RestoreSpread));
+    }
+}
+
 void PoisonExchange::onRecord(const std::string &key, const std::optional<std::string> &value)
 {
     const std::optional<std::uint64_t> fingerprint = parsePoisonRecordKey(key);
--- a/src/daemon/poisonexchange.h
+++ b/src/daemon/poisonexchange.h
@@ -51,6 +51,8 @@
     void onCleared(const PoisonClearing &clearing);
     /// Called when this node found a target alive whose death had been recorded.
     void onWithdrawn(const TargetLifetime &lifetime);
+    /// Called when the store was restored from a copy, which may lack records.
+    void onRestored();
     /// Called with each record of the nodes' topic whose key names a request.
     void onRecord(const std::string &key, const std::optional<std::string> &value);
 
--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -7,20 +7,22 @@
 
 namespace currantwalk {
 
-static constexpr const char *CatalogTopic = "catalog";
-static constexpr const char *TargetsTopic = "targets";
+static constexpr const char *TargetsTopic = EntryFleet::TargetsTopic;
 static constexpr const char *CallersHost = "10.9.0.1";
 static constexpr const char *PoisonMark = "poison";
+/// In the text of a catalogue that lacks the callers' key.
+static constexpr const char *WithoutKey = " without key";
 static constexpr std::uint16_t CallersPort = 80;
 static constexpr std::uint16_t ReadinessPort = 81;
 static constexpr std::uint16_t PeersPort = 82;
 static constexpr std::uint16_t ServerPort = 90;
 static constexpr Duration StoreLatency = std::chrono::milliseconds(4);
+// Of the nodes' client of the store, beyond the wait of a read.
+static constexpr Duration CallTimeout = std::chrono::milliseconds(1000);
 static constexpr Duration BeatInterval = std::chrono::milliseconds(1200);
 static constexpr int MissedBeats = 3;
 // From when a server begins a request that crashes it.
 static constexpr Duration CrashDelay = std::chrono::milliseconds(2);
-static constexpr Duration LeavingTime = std::chrono::milliseconds(1500);
 
 static std::uint64_t unixTime(TimePoint now)
 {
@@ -32,6 +34,12 @@
     KeyedTopicHooks hooks;
     hooks.readNewest = [this, name, host](const std::string &, KeyedTopicHooks::PageCallback done) {
         ++m_topics[name].calls;
+        if (unanswered.contains(host)) {
+            m_timers.scheduleAfter(CallTimeout, [this, host, done = std::move(done)] {
+                answer(host, [done] { done(makeError(ErrorCode::LogAnswerLost, "no answer")); });
+            });
+            return;
+        }
         const bool isReached = canReach(host);
         answer(host, [this, name, isReached, done = std::move(done)] {
             if (!isReached)
@@ -45,6 +53,7 @@
                     page.records.push_back(record);
             }
             page.end = m_topics[name].records.size();
+            page.origin.era = era;
             done(std::move(page));
         });
     };
@@ -57,10 +66,16 @@
             });
             return;
         }
+        if (unanswered.contains(host)) {
+            m_timers.scheduleAfter(wait + CallTimeout, [this, host, done = std::move(done)] {
+                answer(host, [done] { done(makeError(ErrorCode::LogAnswerLost, "no answer")); });
+            });
+            return;
+        }
         const std::uint64_t reader = ++m_lastReader;
         Topic &topic = m_topics[name];
         topic.waiting[reader] = {host, from, std::move(done)};
-        if (from < topic.records.size())
+        if (from != topic.records.size())
             answerTail(topic, reader);
         else
             m_timers.scheduleAfter(wait, [this, &topic, reader] { answerTail(topic, reader); });
@@ -68,9 +83,14 @@
     return hooks;
 }
 
-void SimStore::answer(const std::string &, std::function<void()> action)
+void SimStore::answer(const std::string &host, std::function<void()> action)
 {
-    m_timers.scheduleAfter(StoreLatency, std::move(action));
+    m_timers.scheduleAfter(StoreLatency, [this, host, action = std::move(action)] {
+        if (deliver)
+            deliver(host, action);
+        else
+            action();
+    });
 }
 
 void SimStore::answerTail(Topic &topic, std::uint64_t reader)
@@ -83,7 +103,10 @@
     answer(waiting.host, [this, &topic, waiting] {
         if (!canReach(waiting.host))
             return waiting.done(makeError(ErrorCode::LogUnavailable, "unreachable"));
+        if (waiting.from > topic.records.size())
+            return waiting.done(makeError(ErrorCode::LogRecordsExpired, "no such offset"));
         KeyedTail tail;
+        tail.origin.era = era;
         tail.records.assign(topic.records.begin() + static_cast<std::ptrdiff_t>(waiting.from),
                             topic.records.end());
         tail.next = topic.records.size();
@@ -97,6 +120,7 @@
 {
     Topic &topic = m_topics[name];
     topic.records.push_back({key, value, topic.records.size()});
+    topic.writtenAt.push_back(m_timers.now());
     std::vector<std::uint64_t> readers;
     for (const auto &[reader, waiting] : topic.waiting)
         readers.push_back(reader);
@@ -118,6 +142,21 @@
     });
 }
 
+void SimStore::restore(Duration age)
+{
+    ++era;
+    const TimePoint copiedAt = m_timers.now() - age;
+    for (auto &[name, topic] : m_topics) {
+        const auto end = std::upper_bound(topic.writtenAt.begin(), topic.writtenAt.end(), copiedAt);
+        topic.writtenAt.erase(end, topic.writtenAt.end());
+        topic.records.resize(topic.writtenAt.size());
+        for (const auto &[number, waiting] : std::exchange(topic.waiting, {}))
+            answer(waiting.host, [done = waiting.done] {
+                done(makeError(ErrorCode::LogAnswerLost, "the store was restored"));
+            });
+    }
+}
+
 std::uint64_t SimStore::calls(const std::string &topic) const
 {
     const auto it = m_topics.find(topic);
@@ -154,6 +193,7 @@
 {
     ++m_start;
     m_isUp = true;
+    m_isLeaving = false;
     m_bornAt = unixTime(m_net.timers().now());
     m_id = options.keepsId ? m_name : m_name + "-" + std::to_string(m_start);
     m_net.listen(options.endpoint,
@@ -163,7 +203,7 @@
 
 void SimServer::beat()
 {
-    writeEntry(false);
+    writeEntry(m_isLeaving);
     m_net.timers().scheduleAfter(BeatInterval, [this, start = m_start] {
         if (m_isUp && start == m_start)
             beat();
@@ -206,8 +246,9 @@
 {
     if (!m_isUp)
         return;
+    m_isLeaving = true;
     writeEntry(true);
-    m_net.timers().scheduleAfter(LeavingTime, [this, start = m_start] {
+    m_net.timers().scheduleAfter(options.leavingTime, [this, start = m_start] {
         if (!m_isUp || start != m_start)
             return;
         stop(SimEnd::Reset);
@@ -341,7 +382,19 @@
         const bool isSingle = isOneOf(nodesWithoutStore, host);
         return m_isStoreUp && !isCut && !isSingle;
     };
-    store.append(CatalogTopic, "config", "1");
+    store.deliver = [this](const std::string &host, const std::function<void()> &action) {
+        std::size_t node = 0;
+        while (node < m_nodes.size() && addressOf(node) != host)
+            ++node;
+        if (node == m_nodes.size())
+            action();
+        else if (m_nodes[node].loop)
+            m_nodes[node].loop->nodeTimers().run(action);
+    };
+    store.era = options.storeEra;
+    if (store.era != 0)
+        store.append(RosterTopic, "settled-era", std::to_string(store.era));
+    publish(1, true);
     const std::size_t count = options.generationServers + options.plainServers;
     for (std::size_t i = 0; i < count; ++i) {
         const bool isPlain = i >= options.generationServers;
@@ -428,6 +481,7 @@
     settings.peers = {host, PeersPort};
     settings.peerKey = "a key of tests";
     settings.retrySlack = m_options.retrySlack;
+    settings.maxKeyAge = m_options.maxKeyAge;
     settings.randomSeed = random.next64();
     settings.incarnation = ++m_lastIncarnation;
     RunningNode &running = m_nodes[index];
@@ -444,6 +498,34 @@
     m_nodes[index].loop.reset();
 }
 
+void EntryFleet::pauseNode(std::size_t index)
+{
+    m_nodes[index].loop->nodeTimers().pause();
+}
+
+void EntryFleet::resumeNode(std::size_t index)
+{
+    m_nodes[index].loop->nodeTimers().resume();
+}
+
+void EntryFleet::publish(std::uint64_t version, bool hasKey)
+{
+    store.append(CatalogTopic, "config", std::to_string(version) + (hasKey ? "" : WithoutKey));
+}
+
+std::vector<std::size_t> EntryFleet::readersOf(const ZoneName &zone) const
+{
+    std::vector<std::size_t> nodes;
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        if (zoneOf(i) == zone)
+            nodes.push_back(i);
+    }
+    std::sort(nodes.begin(), nodes.end(), [](std::size_t a, std::size_t b) {
+        return stableHash("n" + std::to_string(a)) < stableHash("n" + std::to_string(b));
+    });
+    return nodes;
+}
+
 static absl::StatusOr<CatalogContent> readCatalog(const std::string &text)
 {
     CatalogContent content;
@@ -471,7 +553,8 @@
     CatalogService plain;
     plain.name = std::string("plain");
     content.services = {engines, plain};
-    content.organisations = {{"o", std::nullopt, {"key"}}};
+    const bool hasKey = text.find(WithoutKey) == std::string::npos;
+    content.organisations = {{"o", std::nullopt, {hasKey ? "key" : "another"}}};
     return content;
 }
 
--- a/src/daemon/tests/entryfleet.h
+++ b/src/daemon/tests/entryfleet.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,7 +29,16 @@
                     const std::optional<std::string> &value,
                     std::function<void(const absl::Status &)> callback);
     std::map<std::string, std::string> newest(const std::string &topic) const;
-
+    /// Replaces all topics by a copy of them that is \a age old, and raises the era. Reads that
+    /// wait are broken off.
+    void restore(Duration age);
+
+    /// Told in all answers; 0: not told.
+    std::uint64_t era = 0;
+    /// Runs what an answer does at its host; at once if it is not set.
+    std::function<void(const std::string &host, std::function<void()> action)> deliver;
+    /// Hosts whose calls are never answered.
+    std::set<std::string> unanswered;
     /// Returns whether \a host reaches the store; all do if it is not set.
     std::function<bool(const std::string &host)> isReachable;
 
@@ -46,6 +56,7 @@
     struct Topic
     {
         std::vector<KeyedRecord> records;
+        std::vector<TimePoint> writtenAt; ///< Of each record.
         std::map<std::uint64_t, Reader> waiting;
         std::uint64_t calls = 0;
     };
@@ -89,6 +100,8 @@
         Duration eventGap = std::chrono::milliseconds(40);
         std::uint32_t events = 20; ///< Of a stream.
         Duration restartAfter = std::chrono::milliseconds(2500);
+        /// From the announcement that it leaves until it ends.
+        Duration leavingTime = std::chrono::milliseconds(1500);
         SimEnd crash = SimEnd::Reset;
         bool keepsId = false;  ///< Whether it starts again under its id.
         double resetShare = 0; ///< Of the requests that lose their connection.
@@ -136,12 +149,15 @@
     std::uint64_t m_bornAt = 0;
     std::vector<std::shared_ptr<Work>> m_work;
     bool m_isUp = false;
+    bool m_isLeaving = false;
 };
 
 /// Entry nodes, servers and callers on virtual time.
 class EntryFleet
 {
 public:
+    static constexpr const char *CatalogTopic = "catalog";
+    static constexpr const char *TargetsTopic = "targets";
     static constexpr const char *RosterTopic = "roster";
 
     struct Options
@@ -155,6 +171,9 @@
         Duration plainWork = std::chrono::milliseconds(15);
         SimEnd crash = SimEnd::Reset;  ///< How servers end.
         bool doServersKeepIds = false; ///< Whether servers start again under their ids.
+        Duration maxKeyAge = std::chrono::seconds(3);
+        /// Era that the store tells from the start; 0: it tells none.
+        std::uint64_t storeEra = 0;
     };
 
     /// The ends of callers' requests.
@@ -175,6 +194,9 @@
     void run(Duration span) { timers.advance(span); }
     void startNode(std::size_t index);
     void killNode(std::size_t index);
+    /// Suspends a node: its timers and messages wait until it is resumed.
+    void pauseNode(std::size_t index);
+    void resumeNode(std::size_t index);
     bool isUp(std::size_t index) const { return m_nodes[index].node != nullptr; }
     EntryNode &node(std::size_t index) { return *m_nodes[index].node; }
     ZoneName zoneOf(std::size_t index) const;
@@ -191,6 +213,11 @@
     /// Cuts single nodes off from the other nodes.
     std::set<std::size_t> nodesWithoutPeers;
 
+    /// Publishes a catalogue; callers' keys are in it or not.
+    void publish(std::uint64_t version, bool hasKey);
+    /// Returns the nodes of a zone in the order in which they are asked to read the store.
+    std::vector<std::size_t> readersOf(const ZoneName &zone) const;
+
     /// Sends one request through the node \a index.
     void request(std::size_t index, const std::string &method, const std::string &path,
                  const std::string &body, Tally &tally);
--- a/src/targets/servicetargets.cpp
+++ b/src/targets/servicetargets.cpp
@@ -1,5 +1,6 @@
 #include "targets/servicetargets.h"
 
+#include <algorithm>
 #include <array>
 
 #include "base/enumtable.h"
@@ -22,6 +23,11 @@
 {
     const TimePoint now = m_timers.now();
     const auto known = m_targets.find(id);
+    // A store that was restored from a copy may show an earlier start.
+    const bool isEarlierStart = known != m_targets.end() && entry.startedAt != 0
+                                && entry.startedAt < known->second.entry.startedAt;
+    if (isEarlierStart)
+        return;
     const bool isRestart = known != m_targets.end()
                            && (known->second.entry.startedAt != entry.startedAt
                                || known->second.entry.endpoint != entry.endpoint);
@@ -75,6 +81,12 @@
     m_storeRecoveredAt = m_timers.now();
 }
 
+void ServiceTargets::onPeerOutage(Duration sinceOutage)
+{
+    const TimePoint recoveredAt = m_timers.now() - sinceOutage;
+    m_storeRecoveredAt = std::max(recoveredAt, m_storeRecoveredAt.value_or(recoveredAt));
+}
+
 void ServiceTargets::markLeaving(const TargetId &id)
 {
     const auto known = m_targets.find(id);
--- a/src/targets/servicetargets.h
+++ b/src/targets/servicetargets.h
@@ -93,6 +93,9 @@
     void remove(const TargetId &id);
     void onStoreLost() { m_isStoreLost = true; }
     void onStoreRecovered();
+    /// Called when the peer that reads the store for this node could not do so until
+    /// \a sinceOutage ago.
+    void onPeerOutage(Duration sinceOutage);
     /// Called when the target has reported that it is leaving.
     void markLeaving(const TargetId &id);
     /// Called when another target answers at the target's endpoint.
--- a/src/targets/tests/servicetargetstest.cpp
+++ b/src/targets/tests/servicetargetstest.cpp
@@ -154,3 +154,25 @@
     CHECK(!targets.find(TargetId("a"))->isLeavingAnnounced);
     CHECK(targets.leavingNotices().empty());
 }
+
+// A store that was restored from a copy shows what its targets wrote before.
+TEST(ServiceTargets, entryOfAnEarlierStartIsPassedOver)
+{
+    targets.update(TargetId("a"), entry(true, 7));
+    targets.update(TargetId("a"), entry(false, 6));
+    LONGS_EQUAL(0, usable());
+    targets.update(TargetId("a"), entry(false, 8));
+    LONGS_EQUAL(1, usable());
+}
+
+// The peer that reads the store had an outage that this node did not notice.
+TEST(ServiceTargets, entryRemovedAfterAPeersOutageMayReappear)
+{
+    targets.update(TargetId("a"), entry());
+    targets.onPeerOutage(500ms);
+    targets.remove(TargetId("a"));
+    LONGS_EQUAL(1, usable());
+    timers.advance(2s);
+    targets.expire();
+    LONGS_EQUAL(0, usable());
+}
