Streams that may be resumed go on at another target without a copy

What callers saw: a stream whose target crashed, reset its connection or stopped in the middle of an event was broken off where no copy of its memory could be used, though the catalogue says that the request may run again from any event on; before its first event it failed with 502.

Cause: the catalogue's flag was not read; all streams counted as at most once.

Change: streams that may be resumed are a rule of their own. Before an event has been passed on they are sent again like idempotent requests; after one, another target processes the prompt again behind the last whole event, if no copy can be used, within the number of targets, the retry budget and the deadline. A caller's own last event is passed on and counted from. A send that did not run is not counted.

Left: a stream that goes silent is not resumed before its caller leaves; the own interface resumes by generation only, as its engines have no such flag.

--- a/src/calls/relaycall.cpp
+++ b/src/calls/relaycall.cpp
@@ -36,7 +36,10 @@
 }
 
 RelayCall::RelayCall(RelayRequest request, RelayHooks hooks, TimerService &timers)
-    : m_request(std::move(request)), m_hooks(std::move(hooks)), m_timers(timers)
+    : m_request(std::move(request)),
+      m_hooks(std::move(hooks)),
+      m_timers(timers),
+      m_lastEvent(m_request.lastEvent)
 {
 }
 
@@ -78,8 +81,7 @@
     ++m_sends;
     ++m_possibleRuns;
     startAttemptTimer();
-    m_backup = m_request.rule == RetrySemantics::Stream ? m_hooks.chooseBackupTarget(m_target)
-                                                        : std::nullopt;
+    m_backup = isStream(m_request.rule) ? m_hooks.chooseBackupTarget(m_target) : std::nullopt;
     m_hooks.send({m_exchange, m_target, std::nullopt, m_backup});
 }
 
@@ -112,7 +114,7 @@
 
 bool RelayCall::mayRunAgain() const
 {
-    return m_request.rule == RetrySemantics::Idempotent && m_possibleRuns < m_request.maxTargets;
+    return isRepeatable(m_request.rule) && m_possibleRuns < m_request.maxTargets;
 }
 
 // The old target could become unreachable at any moment and would then continue a run that can't be
@@ -185,7 +187,7 @@
 {
     if (exchange != m_exchange || m_state != RelayState::Answering)
         return;
-    if (m_request.rule == RetrySemantics::Stream && isSuccessStatus(m_head.status)) {
+    if (isStream(m_request.rule) && isSuccessStatus(m_head.status)) {
         handleEvents(bytes);
         return;
     }
@@ -278,6 +280,8 @@
     if (exchange == m_resumeExchange) {
         if (wasSent && !status.ok() && errorCode(status) == ErrorCode::ConnectionLost)
             m_hooks.reportLost(exchange);
+        if (!wasSent)
+            onResumeNotRun();
         onResumeFailed(status);
         return;
     }
@@ -327,7 +331,7 @@
     m_hooks.report(m_target, SendResult::Failed);
     m_excluded.push_back(m_target);
     if (m_isForwarding) {
-        if (!resumeFromBackup(status))
+        if (!resumeFromBackup(status) && !resumeWithoutCopy(status))
             abortAnswer(status);
         return;
     }
@@ -347,7 +351,7 @@
 
 void RelayCall::onTargetLeaving()
 {
-    if (isSettled() || m_request.rule != RetrySemantics::Stream)
+    if (isSettled() || !isStream(m_request.rule))
         return;
     m_isTargetLeaving = true;
     beginMove();
@@ -428,9 +432,41 @@
     return true;
 }
 
+// Another run of the request generates the same events, so it can take the place of the lost one.
+// The target processes the prompt again, which takes longer than going on from a copy.
+bool RelayCall::resumeWithoutCopy(const absl::Status &reason)
+{
+    if (m_request.rule != RetrySemantics::ResumableStream || !m_lastEvent || !mayRunAgain()
+        || m_unexecutedSends >= MaxUnexecutedSends)
+        return false;
+    const std::optional<TargetId> target = m_hooks.chooseTarget(m_excluded);
+    if (!target || !m_hooks.takeRetry())
+        return false;
+    m_pendingMove = 0;
+    onSourceLost(reason);
+    m_target = *target;
+    m_resumeExchange = ++m_lastExchange;
+    ++m_sends;
+    ++m_possibleRuns;
+    m_nextBackup = m_hooks.chooseBackupTarget(m_target);
+    m_hooks.send(
+            {m_resumeExchange, m_target, StreamResume{std::nullopt, *m_lastEvent}, m_nextBackup});
+    return true;
+}
+
+// A run that goes on from a copy is not counted as another one.
+void RelayCall::onResumeNotRun()
+{
+    ++m_unexecutedSends;
+    if (!m_copy)
+        --m_possibleRuns;
+}
+
 void RelayCall::onResumeHead(const RelayAnswerHead &head)
 {
     if (head.isMismatched || !isSuccessStatus(head.status) || !head.isSigned) {
+        if (!head.isMismatched && (head.isNotRun || head.isTargetReplaced))
+            onResumeNotRun();
         onResumeFailed(
                 makeError(ErrorCode::TargetRefused, "the target refused to resume the stream"));
         return;
@@ -439,7 +475,8 @@
     if (m_exchange != 0)
         m_hooks.abandon(m_exchange);
     m_exchange = std::exchange(m_resumeExchange, 0);
-    m_target = m_copy->holder;
+    if (m_copy)
+        m_target = m_copy->holder;
     m_backup = std::exchange(m_nextBackup, std::nullopt);
     m_isFirstEventAfterResume = true;
     m_copy.reset();
@@ -468,7 +505,8 @@
 {
     m_isSourceLost = true;
     m_sourceFailure = status;
-    m_hooks.abandon(std::exchange(m_exchange, 0));
+    if (m_exchange != 0)
+        m_hooks.abandon(std::exchange(m_exchange, 0));
     m_events.reset();
 }
 
--- a/src/calls/relaycall.h
+++ b/src/calls/relaycall.h
@@ -29,6 +29,8 @@
     RetrySemantics rule = RetrySemantics::AtMostOnce;
     std::uint32_t maxTargets = 1; ///< Number of targets that may run it.
     TimePoint deadline{};         ///< The caller's deadline or the route's, whichever is earlier.
+    /// Number of the last event that the caller has from an earlier request for the same stream.
+    std::optional<std::uint64_t> lastEvent;
     /// Time-out of an attempt of an idempotent request, after which it is sent to another target.
     /// 0 disables it.
     Duration attemptTimeout{0};
@@ -58,8 +60,8 @@
 /// Where and after which event a stream resumes on another target.
 struct StreamResume
 {
-    StreamCopy copy;
-    std::uint64_t lastEvent = 0; ///< Number of the last event forwarded to the caller.
+    std::optional<StreamCopy> copy; ///< Nothing if the target has to process the prompt again.
+    std::uint64_t lastEvent = 0;    ///< Number of the last event forwarded to the caller.
 };
 
 /// One send of a request to a target.
@@ -203,6 +205,8 @@
     void beginMove();
     void resumeFrom(const StreamCopy &copy);
     bool resumeFromBackup(const absl::Status &reason);
+    bool resumeWithoutCopy(const absl::Status &reason);
+    void onResumeNotRun();
     void onResumeHead(const RelayAnswerHead &head);
     void onResumeFailed(const absl::Status &status);
     void onSourceLost(const absl::Status &status);
--- a/src/calls/tests/relaycalltest.cpp
+++ b/src/calls/tests/relaycalltest.cpp
@@ -401,7 +401,7 @@
     LONGS_EQUAL(0, aborts);
     LONGS_EQUAL(2, sent.size());
     STRCMP_EQUAL("b", sent[1].target.text().c_str());
-    STRCMP_EQUAL("r", sent[1].resume->copy.handle.c_str());
+    STRCMP_EQUAL("r", sent[1].resume->copy->handle.c_str());
     LONGS_EQUAL(2, sent[1].resume->lastEvent);
     STRCMP_EQUAL("a", sent[1].backup->text().c_str());
     call->onConnected(sent[1].exchange);
@@ -446,7 +446,7 @@
     call->onTargetLeaving();
     call->onEnd(sent[0].exchange, lost(), true);
     LONGS_EQUAL(2, sent.size());
-    STRCMP_EQUAL("r", sent[1].resume->copy.handle.c_str());
+    STRCMP_EQUAL("r", sent[1].resume->copy->handle.c_str());
     completeCopy();
     LONGS_EQUAL(1, dropped.size());
     call->onHead(sent[1].exchange, success());
@@ -511,3 +511,119 @@
     CHECK_EQUAL(2U, lostExchanges.size());
     CHECK_EQUAL(1, aborts);
 }
+
+TEST(RelayCall, resumableStreamGoesOnAtAnotherTargetWithoutACopy)
+{
+    begin(RetrySemantics::ResumableStream, 2);
+    call->onHead(1, success());
+    call->onBody(1, event(1) + event(2) + "id: 3\nda");
+    call->onEnd(1, makeError(ErrorCode::ConnectionLost, "reset"), true);
+    LONGS_EQUAL(2, sent.size());
+    STRCMP_EQUAL("b", sent[1].target.text().c_str());
+    CHECK(!sent[1].resume->copy);
+    LONGS_EQUAL(2, sent[1].resume->lastEvent);
+    CHECK(call->onConnected(sent[1].exchange));
+    call->onHead(sent[1].exchange, success());
+    call->onBody(sent[1].exchange, event(2) + event(3) + event(4));
+    call->onEnd(sent[1].exchange, absl::OkStatus(), true);
+    STRCMP_EQUAL((event(1) + event(2) + event(3) + event(4)).c_str(), body.c_str());
+    LONGS_EQUAL(1, heads);
+    LONGS_EQUAL(1, ends);
+    LONGS_EQUAL(0, aborts);
+}
+
+TEST(RelayCall, resumableStreamPrefersItsCopy)
+{
+    isBackupOffered = true;
+    begin(RetrySemantics::ResumableStream, 2);
+    call->onHead(1, success());
+    call->onBody(1, event(1));
+    call->onEnd(1, makeError(ErrorCode::ConnectionLost, "reset"), true);
+    CHECK(sent[1].resume->copy.has_value());
+    // The copy is of no use, so the prompt is processed again.
+    call->onHead(sent[1].exchange, refusal());
+    LONGS_EQUAL(3, sent.size());
+    CHECK(!sent[2].resume->copy);
+    LONGS_EQUAL(0, aborts);
+}
+
+TEST(RelayCall, resumableStreamRunsAtNoMoreThanItsTargets)
+{
+    begin(RetrySemantics::ResumableStream, 2);
+    call->onHead(1, success());
+    call->onBody(1, event(1));
+    call->onEnd(1, makeError(ErrorCode::ConnectionLost, "reset"), true);
+    call->onHead(2, success());
+    call->onBody(2, event(2));
+    call->onEnd(2, makeError(ErrorCode::ConnectionLost, "reset"), true);
+    LONGS_EQUAL(2, sent.size());
+    LONGS_EQUAL(1, aborts);
+}
+
+TEST(RelayCall, resumeThatDidNotRunIsNotCounted)
+{
+    begin(RetrySemantics::ResumableStream, 2);
+    call->onHead(1, success());
+    call->onBody(1, event(1));
+    call->onEnd(1, makeError(ErrorCode::ConnectionLost, "reset"), true);
+    call->onHead(2, refusal());
+    LONGS_EQUAL(3, sent.size());
+    STRCMP_EQUAL("c", sent[2].target.text().c_str());
+    call->onHead(3, success());
+    call->onBody(3, event(2));
+    call->onEnd(3, absl::OkStatus(), true);
+    LONGS_EQUAL(1, ends);
+    STRCMP_EQUAL((event(1) + event(2)).c_str(), body.c_str());
+}
+
+TEST(RelayCall, resumeSpendsTheRetryBudget)
+{
+    retriesLeft = 0;
+    begin(RetrySemantics::ResumableStream, 2);
+    call->onHead(1, success());
+    call->onBody(1, event(1));
+    call->onEnd(1, makeError(ErrorCode::ConnectionLost, "reset"), true);
+    LONGS_EQUAL(1, sent.size());
+    LONGS_EQUAL(1, aborts);
+}
+
+TEST(RelayCall, resumableStreamWithoutAnEventRunsAgain)
+{
+    begin(RetrySemantics::ResumableStream, 2);
+    call->onHead(1, success());
+    call->onBody(1, "id: 1\nda");
+    call->onEnd(1, makeError(ErrorCode::ConnectionLost, "reset"), true);
+    LONGS_EQUAL(2, sent.size());
+    CHECK(!sent[1].resume);
+    answerCompletely(2, event(1));
+    STRCMP_EQUAL(event(1).c_str(), body.c_str());
+}
+
+TEST(RelayCall, otherStreamsDoNotResumeWithoutACopy)
+{
+    begin(RetrySemantics::Stream, 2);
+    call->onHead(1, success());
+    call->onBody(1, event(1));
+    call->onEnd(1, makeError(ErrorCode::ConnectionLost, "reset"), true);
+    LONGS_EQUAL(1, sent.size());
+    LONGS_EQUAL(1, aborts);
+}
+
+// The caller asks for a stream to go on after event 5, and the target's connection is lost.
+TEST(RelayCall, callersOwnLastEventCounts)
+{
+    RelayRequest request;
+    request.id = RequestId("r");
+    request.rule = RetrySemantics::ResumableStream;
+    request.maxTargets = 2;
+    request.deadline = timers.now() + 10s;
+    request.lastEvent = 5;
+    call = RelayCall::create(request, hooks(), timers);
+    call->start();
+    CHECK(!sent[0].resume);
+    call->onHead(1, success());
+    call->onBody(1, event(5) + event(6));
+    STRCMP_EQUAL(event(6).c_str(), body.c_str());
+    call->onEnd(1, makeError(ErrorCode::ConnectionLost, "reset"), true);
+    LONGS_EQUAL(6, sent[1].resume->lastEvent);
+}
--- a/src/config/servicecatalog.cpp
+++ b/src/config/servicecatalog.cpp
@@ -7,12 +7,23 @@
 
 namespace currantwalk {
 
-static constexpr std::array<EnumName<RetrySemantics>, 3> RetrySemanticsNames{{
+static constexpr std::array<EnumName<RetrySemantics>, 4> RetrySemanticsNames{{
         {RetrySemantics::Idempotent, "idempotent"},
         {RetrySemantics::AtMostOnce, "at-most-once"},
         {RetrySemantics::Stream, "stream"},
+        {RetrySemantics::ResumableStream, "resumable-stream"},
 }};
 
+bool isStream(RetrySemantics rule)
+{
+    return rule == RetrySemantics::Stream || rule == RetrySemantics::ResumableStream;
+}
+
+bool isRepeatable(RetrySemantics rule)
+{
+    return rule == RetrySemantics::Idempotent || rule == RetrySemantics::ResumableStream;
+}
+
 std::string_view retrySemanticsName(RetrySemantics rule)
 {
     return enumName(RetrySemanticsNames, rule);
--- a/src/config/servicecatalog.h
+++ b/src/config/servicecatalog.h
@@ -19,9 +19,17 @@
     Idempotent, ///< May be executed any number of times.
     AtMostOnce,
     Stream, ///< At most once; the answer is a stream of numbered events.
+    /// Any number of times; the answer is a stream of numbered events, and a run may begin after
+    /// any of them.
+    ResumableStream,
 };
 
-/// Returns "idempotent", "at-most-once" or "stream".
+/// Returns whether the answer is a stream of events.
+bool isStream(RetrySemantics rule);
+/// Returns whether a request may be executed again.
+bool isRepeatable(RetrySemantics rule);
+
+/// Returns "idempotent", "at-most-once", "stream" or "resumable-stream".
 std::string_view retrySemanticsName(RetrySemantics rule);
 
 /// A service with its weight in a route's traffic split.
--- a/src/daemon/entrytypes.h
+++ b/src/daemon/entrytypes.h
@@ -46,6 +46,8 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t maxTokens = 0;
     std::optional<std::uint32_t> expectedTokens; ///< The caller's estimate of the answer's length.
+    /// Number of the event after which the caller asks a stream to go on.
+    std::optional<std::uint64_t> lastEvent;
 };
 
 /// What a node adds to a request that it sends to a target.
--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -75,6 +75,8 @@
     request.id = m_caller.id;
     request.rule = route.rule;
     request.maxTargets = route.maxTargets;
+    if (route.rule == RetrySemantics::ResumableStream)
+        request.lastEvent = m_caller.lastEvent;
     request.deadline = m_arrivedAt + limit;
     request.attemptTimeout = std::min(route.latencyObjective * PatienceFactor, limit / 2);
     return request;
@@ -364,7 +366,7 @@
     options.headTimeout = send.deadline;
     options.idleTimeout = send.deadline;
     // A generation in progress is told of, since a node that is killed tells nothing more.
-    if (m_call->sends() > 1 || m_call->request().rule == RetrySemantics::Stream)
+    if (m_call->sends() > 1 || isStream(m_call->request().rule))
         logSend(*target, order);
     TargetExchange &entry = m_exchanges[order.exchange];
     entry.target = id;
@@ -375,9 +377,9 @@
         m_services.placer.onBackupStarted(*entry.backup, load());
     if (load().promptTokens != 0)
         m_services.loadsChanged();
-    entry.call = m_services.client.send(options,
-                                        m_services.bindings.writeSend(m_exchange->request(), send),
-                                        callHooks(order.exchange, id, order.resume.has_value()));
+    entry.call = m_services.client.send(
+            options, m_services.bindings.writeSend(m_exchange->request(), send),
+            callHooks(order.exchange, id, order.resume && order.resume->copy));
 }
 
 HttpCallHooks RelaySession::callHooks(std::uint64_t exchange, const TargetId &target,
@@ -540,8 +542,9 @@
     if (order.backup)
         line += " copied_to=" + order.backup->text();
     if (order.resume)
-        line += " behind event " + std::to_string(order.resume->lastEvent) + " from copy "
-                + order.resume->copy.handle;
+        line += " behind event " + std::to_string(order.resume->lastEvent)
+                + (order.resume->copy ? " from copy " + order.resume->copy->handle
+                                      : std::string(" without a copy"));
     logRequest(LogPart::Routing, LogLevel::Info, m_caller.id.text(), line);
 }
 
@@ -588,7 +591,7 @@
         line += " reason=\"" + std::string(reason) + '"';
     // What has a line for its send and none for its end was in progress when its node was killed.
     const bool isOrdinary = outcome == "done" && m_status < 400 && !isLate() && m_call->sends() == 1
-                            && m_admitted.route->rule != RetrySemantics::Stream;
+                            && !isStream(m_admitted.route->rule);
     const LogLevel level = isOrdinary ? LogLevel::Debug : LogLevel::Info;
     logRequest(LogPart::Calls, level, m_caller.id.text(), line);
 }
--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -275,6 +275,11 @@
         exchange->finish();
         return;
     }
+    if (!options.keepsCopies && findHeader(exchange->request().headers, "copy")) {
+        exchange->start({503, {{"not-run", "1"}}});
+        exchange->finish();
+        return;
+    }
     if (exchange->request().body.rfind(PoisonMark, 0) == 0)
         m_poison[exchange->request().path].arrivals.push_back(
                 {m_net.timers().now(), exchange->remoteAddress()});
@@ -350,6 +355,16 @@
         crash(options.crash);
         return;
     }
+    if (options.breakShare > 0 && m_random.chance(options.breakShare)) {
+        work->exchange->write("id: " + std::to_string(work->events + 1) + "\nda");
+        const std::shared_ptr<HttpExchange> exchange = work->exchange;
+        end(work);
+        m_net.timers().scheduleAfter(CrashDelay, [exchange] {
+            if (!exchange->isClosed())
+                exchange->abort();
+        });
+        return;
+    }
     ++work->events;
     work->exchange->write("id: " + std::to_string(work->events) + "\ndata: x\n\n");
     if (work->events >= options.events) {
@@ -547,6 +562,8 @@
     route.timeout = std::chrono::seconds(20);
     route.latencyObjective = std::chrono::seconds(2);
     add("/stream/", RetrySemantics::Stream, "engines");
+    route.maxTargets = 2;
+    add("/resumable/", RetrySemantics::ResumableStream, "engines");
     CatalogService engines;
     engines.name = std::string("engines");
     engines.engine = EngineCapabilities{8, 30000, true, true};
@@ -578,7 +595,7 @@
     caller.id = RequestId(std::string(findHeader(request.headers, "id").value_or("")));
     caller.host = std::string("h");
     caller.key = std::string("key");
-    if (request.path.rfind("/stream/", 0) == 0) {
+    if (request.path.rfind("/stream/", 0) == 0 || request.path.rfind("/resumable/", 0) == 0) {
         caller.promptTokens = 1000;
         caller.maxTokens = 1000;
     }
@@ -590,6 +607,8 @@
     HttpRequest sent{request.method, request.path, {{"target", send.target.text()}}, request.body};
     if (send.resume)
         sent.headers.push_back({"last-event", std::to_string(send.resume->lastEvent)});
+    if (send.resume && send.resume->copy)
+        sent.headers.push_back({"copy", send.resume->copy->handle});
     return sent;
 }
 
@@ -599,6 +618,7 @@
     answer.status = head.status;
     answer.isSigned = true;
     answer.isTargetReplaced = head.status == 421;
+    answer.isNotRun = findHeader(head.headers, "not-run").has_value();
     return answer;
 }
 
@@ -640,6 +660,21 @@
     return bindings;
 }
 
+// Returns whether the events of a stream, if any, are numbered 1, 2, 3 and so on.
+static bool areEventsInOrder(const std::string &body)
+{
+    std::size_t at = 0;
+    for (std::uint32_t number = 1; at < body.size(); ++number) {
+        const std::string event = "id: " + std::to_string(number) + "\ndata: x\n\n";
+        if (body.compare(at, 2, "id") != 0)
+            return number == 1;
+        if (body.compare(at, event.size(), event) != 0)
+            return false;
+        at += event.size();
+    }
+    return true;
+}
+
 void EntryFleet::request(std::size_t index, const std::string &method, const std::string &path,
                          const std::string &body, Tally &tally)
 {
@@ -652,7 +687,9 @@
         m_callers[number].status = head.status;
         m_callers[number].reason = std::string(findHeader(head.headers, "reason").value_or(""));
     };
+    hooks.onBody = [this, number](std::string_view part) { m_callers[number].body += part; };
     hooks.onEnd = [this, number, &tally](const absl::Status &status) {
+        tally.disordered += areEventsInOrder(m_callers[number].body) ? 0 : 1;
         const int code = m_callers[number].status;
         --tally.open;
         if (m_callers[number].reason == errorName(ErrorCode::PoisonousRequest))
--- a/src/daemon/tests/entryfleet.h
+++ b/src/daemon/tests/entryfleet.h
@@ -103,9 +103,11 @@
         /// From the announcement that it leaves until it ends.
         Duration leavingTime = std::chrono::milliseconds(1500);
         SimEnd crash = SimEnd::Reset;
-        bool keepsId = false;  ///< Whether it starts again under its id.
-        double resetShare = 0; ///< Of the requests that lose their connection.
-        double errorShare = 0; ///< Of the requests that get an error before they begin.
+        bool keepsId = false;    ///< Whether it starts again under its id.
+        double resetShare = 0;   ///< Of the requests that lose their connection.
+        double errorShare = 0;   ///< Of the requests that get an error before they begin.
+        bool keepsCopies = true; ///< Whether it has the copies from which streams are to go on.
+        double breakShare = 0;   ///< Of the events in the middle of which the connection is reset.
         /// Events that a crashing stream gets to write.
         std::uint32_t eventsBeforeCrash = 0;
     };
@@ -184,6 +186,7 @@
         std::uint32_t refusedAsPoisonous = 0; ///< Of those refused.
         std::uint32_t failed = 0;
         std::uint32_t open = 0;
+        std::uint32_t disordered = 0; ///< Streams whose events are not 1, 2, 3 and so on.
     };
 
     explicit EntryFleet(const Options &options);
@@ -257,6 +260,7 @@
         std::unique_ptr<HttpCall> call;
         int status = 0;
         std::string reason;
+        std::string body;
     };
 
     EntryBindings bindings(const std::string &host, const std::weak_ptr<bool> &alive);
--- a/src/daemon/tests/entrynodetest.cpp
+++ b/src/daemon/tests/entrynodetest.cpp
@@ -115,7 +115,7 @@
             return HttpRequest{request.method,
                                request.path,
                                {{"organisation", send.organisation},
-                                {"resume", send.resume ? send.resume->copy.handle : ""}},
+                                {"resume", send.resume ? send.resume->copy->handle : ""}},
                                request.body};
         };
         bindings.readAnswerHead = [](const HttpResponseHead &head, const RequestId &) {
