Whole topics are read from the store, not from the zone's reader

Cause: each node that starts asked its zone's reader for all targets. 3,003 entries as JSON are about 0.9 MB; 60 nodes of a zone asked one node with a link of 20 Mbit/s and 0.12 of a core.

Change: a scan of all keys goes to the store, which has 4,000 Mbit/s; to peers only if the store fails. The tail is read from the zone's reader as before. A start costs a node two calls more.

--- a/src/daemon/tests/storereadertest.cpp
+++ b/src/daemon/tests/storereadertest.cpp
@@ -161,7 +161,7 @@
 {
     build(195, 5);
     const std::string text = std::to_string(storeCalls()) + " calls";
-    CHECK_TEXT(storeCalls() <= 5 * 195, text.c_str());
+    CHECK_TEXT(storeCalls() <= 5 * fleet->nodeCount(), text.c_str());
     for (std::size_t i = 0; i < fleet->nodeCount(); ++i)
         CHECK(fleet->node(i).isReady());
 }
@@ -235,7 +235,7 @@
 
 TEST(StoreReaders, callsDoNotGrowWithTheNodesOfAZoneWhileTheStoreIsAway)
 {
-    std::uint64_t calls[2];
+    std::uint64_t calls[2] = {0, 0};
     for (const std::size_t round : {0, 1}) {
         build(round == 0 ? 30 : 90, 3);
         fleet->setStoreUp(false);
--- a/src/daemon/topicexchange.cpp
+++ b/src/daemon/topicexchange.cpp
@@ -19,7 +19,7 @@
     KeyedTopicHooks::TailCallback onTail;
     std::vector<ReaderSelector::Peer> peers; ///< Still to be asked.
     bool isPeerBehind = false;               ///< A peer answered that can't read the store itself.
-    bool isOtherZoneAsked = false;
+    bool hasStoreFailed = false;
 
     void fail(const absl::Status &status) const
     {
@@ -71,10 +71,9 @@
         read->topic = topic;
         read->after = after;
         read->onPage = std::move(callback);
-        // A peer answers with all keys at once, so later pages are the store's.
-        if (m_isStarted && after.empty())
-            read->peers = m_selector.peersToAsk(m_timers.now());
-        ask(read);
+        // All keys are many bytes. After a restart of all nodes, the link of the zone's reader
+        // would be too small to send them to each node.
+        readStore(read);
     };
     hooks.readTail = [this, topic](LogOffset from, Duration wait,
                                    KeyedTopicHooks::TailCallback callback) {
@@ -138,6 +137,10 @@
 
 void TopicExchange::ask(const std::shared_ptr<Read> &read)
 {
+    if (read->peers.empty() && read->hasStoreFailed) {
+        read->fail(makeError(ErrorCode::LogUnavailable, "no node asked can read the store"));
+        return;
+    }
     if (read->peers.empty()) {
         readStore(read);
         return;
@@ -182,10 +185,7 @@
         // behind it would become readers one after the other while the store is away.
         if (!tail.ok())
             m_selector.onFailure(peer, m_timers.now());
-        if (read->isOtherZoneAsked)
-            read->fail(makeError(ErrorCode::LogUnavailable, "no zone's reader can read the store"));
-        else
-            ask(read);
+        ask(read);
         return;
     }
     m_selector.onAnswer(peer);
@@ -274,16 +274,19 @@
     }
     topic.isLost = true;
     answerAll(read->topic);
-    std::vector<ReaderSelector::Peer> readers;
-    if (m_isStarted && !std::exchange(read->isOtherZoneAsked, true) && read->after.empty())
-        readers = m_selector.readersOfOtherZones(m_timers.now());
-    if (readers.empty()) {
+    // A peer answers with all keys at once, so later pages can only be the store's.
+    if (!m_isStarted || !read->after.empty()) {
         read->fail(status);
         return;
     }
-    // The store has just been tried.
-    read->isPeerBehind = true;
-    askPeer(read, readers[m_random.uniformBelow(readers.size())]);
+    const TimePoint now = m_timers.now();
+    read->hasStoreFailed = true;
+    if (!read->from)
+        read->peers = m_selector.peersToAsk(now);
+    const std::vector<ReaderSelector::Peer> readers = m_selector.readersOfOtherZones(now);
+    if (!readers.empty())
+        read->peers.push_back(readers[m_random.uniformBelow(readers.size())]);
+    ask(read);
 }
 
 void TopicExchange::onQuestion(const Json::Value &json, const RpcResponder &responder)
