The stand-ins of the entry fleet free requests that are in progress at a test's end

Cause: a server's hook for a closed exchange owned the work, which owns the exchange, which owns the hook. The new tests are the first that end with requests in progress.

Change: the hook refers to the work weakly; the network drops the hooks of conversations that are left.

--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -285,7 +285,11 @@
                 {m_net.timers().now(), exchange->remoteAddress()});
     const auto work = std::make_shared<Work>();
     work->exchange = std::move(exchange);
-    work->exchange->onClosed([this, work] { end(work); });
+    // The exchange owns the hook, and the work owns the exchange.
+    work->exchange->onClosed([this, weak = std::weak_ptr<Work>(work)] {
+        if (const std::shared_ptr<Work> closed = weak.lock())
+            end(closed);
+    });
     m_work.push_back(work);
     beginNext();
 }
--- a/src/daemon/tests/simnet.cpp
+++ b/src/daemon/tests/simnet.cpp
@@ -145,6 +145,16 @@
     }
 }
 
+// The hooks of a conversation may own what holds the conversation.
+SimNet::~SimNet()
+{
+    for (const std::shared_ptr<SimConversation> &conversation : m_conversations) {
+        conversation->hooks = {};
+        conversation->onServerClosed = nullptr;
+        conversation->onDrained = nullptr;
+    }
+}
+
 void SimNet::removeHost(const std::string &host)
 {
     m_hosts.erase(host);
--- a/src/daemon/tests/simnet.h
+++ b/src/daemon/tests/simnet.h
@@ -46,6 +46,9 @@
     static constexpr Duration Latency = std::chrono::microseconds(700);
 
     explicit SimNet(VirtualTimerService &timers) : m_timers(timers) {}
+    ~SimNet();
+    SimNet(const SimNet &) = delete;
+    SimNet &operator=(const SimNet &) = delete;
 
     VirtualTimerService &timers() { return m_timers; }
 
