Tests: late bytes of crashed servers; a soak that varies more; stand-ins in files of their own

requestStaysRefusedThoughBytesOfCrashedServersArriveLate fails on: one node's links hold up by 0.7 s what engines send. It reads events of an engine 0.7 s after the engine crashed, takes it for alive, and withdraws the deaths on all nodes: 8 crashes in 20 s, 3 are allowed.

The soak varied neither paused nodes, slow links, a slow or busy store, lost answers of the store, a restored store, all servers of a service ending at once, ports, errors, repeats at several nodes at once, the time from begin to crash, crashes in the middle of a stream, nor harmless requests with the path of a poisonous one.

--- a/src/daemon/tests/entryfleet.h
+++ b/src/daemon/tests/entryfleet.h
@@ -10,150 +10,10 @@
 
 #include "base/randomsource.h"
 #include "daemon/entrynode.h"
-#include "daemon/tests/simnet.h"
+#include "daemon/tests/simserver.h"
 
 namespace currantwalk {
 
-/// The platform's store, with topics of newest records.
-class SimStore
-{
-public:
-    explicit SimStore(VirtualTimerService &timers) : m_timers(timers) {}
-
-    /// Returns hooks for the node \a host.
-    KeyedTopicHooks topic(const std::string &name, const std::string &host);
-    void append(const std::string &topic, const std::string &key,
-                const std::optional<std::string> &value);
-    /// Appends for the node \a host, and answers it.
-    void appendFrom(const std::string &host, const std::string &topic, const std::string &key,
-                    const std::optional<std::string> &value,
-                    std::function<void(const absl::Status &)> callback);
-    std::map<std::string, std::string> newest(const std::string &topic) const;
-    /// Replaces all topics by a copy of them that is \a age old, and raises the era. Reads that
-    /// wait are broken off.
-    void restore(Duration age);
-
-    /// Told in all answers; 0: not told.
-    std::uint64_t era = 0;
-    /// Runs what an answer does at its host; at once if it is not set.
-    std::function<void(const std::string &host, std::function<void()> action)> deliver;
-    /// Hosts whose calls are never answered.
-    std::set<std::string> unanswered;
-    /// Returns whether \a host reaches the store; all do if it is not set.
-    std::function<bool(const std::string &host)> isReachable;
-
-    /// Returns the number of calls that nodes made on a topic.
-    std::uint64_t calls(const std::string &topic) const;
-
-private:
-    struct Reader
-    {
-        std::string host;
-        LogOffset from = 0;
-        KeyedTopicHooks::TailCallback done;
-    };
-
-    struct Topic
-    {
-        std::vector<KeyedRecord> records;
-        std::vector<TimePoint> writtenAt; ///< Of each record.
-        std::map<std::uint64_t, Reader> waiting;
-        std::uint64_t calls = 0;
-    };
-
-    bool canReach(const std::string &host) const { return !isReachable || isReachable(host); }
-    void answer(const std::string &host, std::function<void()> action);
-    void answerTail(Topic &topic, std::uint64_t reader);
-
-    VirtualTimerService &m_timers;
-    std::map<std::string, Topic> m_topics;
-    std::uint64_t m_lastReader = 0;
-};
-
-/// What servers have seen of the poisonous requests of one path.
-struct SimPoisonLog
-{
-    struct Arrival
-    {
-        TimePoint when{};
-        std::string host; ///< Of the node that sent it.
-    };
-
-    std::vector<Arrival> arrivals;
-    std::vector<TimePoint> crashes; ///< Of servers that had begun such a request.
-};
-
-using SimPoisonLogs = std::map<std::string, SimPoisonLog>;
-
-/// A server of a service, as the platform's pages describe it: each start is a new incarnation, a
-/// request may crash it, and its entry in the store is removed after three missed beats.
-class SimServer
-{
-public:
-    struct Options
-    {
-        std::string service;
-        ZoneName zone;
-        Endpoint endpoint;
-        std::uint32_t slots = 8;
-        Duration work = std::chrono::milliseconds(20); ///< Of one request, or to the first event.
-        Duration eventGap = std::chrono::milliseconds(40);
-        std::uint32_t events = 20; ///< Of a stream.
-        Duration restartAfter = std::chrono::milliseconds(2500);
-        /// From the announcement that it leaves until it ends.
-        Duration leavingTime = std::chrono::milliseconds(1500);
-        SimEnd crash = SimEnd::Reset;
-        bool keepsId = false;    ///< Whether it starts again under its id.
-        double resetShare = 0;   ///< Of the requests that lose their connection.
-        double errorShare = 0;   ///< Of the requests that get an error before they begin.
-        bool keepsCopies = true; ///< Whether it has the copies from which streams are to go on.
-        double breakShare = 0;   ///< Of the events in the middle of which the connection is reset.
-        /// Events that a crashing stream gets to write.
-        std::uint32_t eventsBeforeCrash = 0;
-    };
-
-    SimServer(SimNet &net, SimStore &store, SimPoisonLogs &poison, RandomSource &random,
-              Options options, std::string name);
-
-    void start();
-    void crash(SimEnd end);
-    /// Announces that it leaves, and leaves; another takes its place.
-    void leave();
-    void resetConnections();
-
-    Options options;
-    bool isUp() const { return m_isUp; }
-
-private:
-    struct Work
-    {
-        std::shared_ptr<HttpExchange> exchange;
-        bool hasBegun = false;
-        std::uint32_t events = 0;
-    };
-
-    void beat();
-    void writeEntry(bool isLeaving);
-    void take(std::shared_ptr<HttpExchange> exchange);
-    void beginNext();
-    void work(const std::shared_ptr<Work> &work);
-    void writeEvent(const std::shared_ptr<Work> &work);
-    void end(const std::shared_ptr<Work> &work);
-    void stop(SimEnd end);
-
-    SimNet &m_net;
-    SimStore &m_store;
-    SimPoisonLogs &m_poison;
-    RandomSource &m_random;
-    const std::string m_name;
-    std::string m_id;
-    std::uint64_t m_start = 0; ///< Number of its starts; earlier ones' timers do nothing.
-    std::uint64_t m_bornAt = 0;
-    std::vector<std::shared_ptr<Work>> m_work;
-    bool m_isUp = false;
-    bool m_isLeaving = false;
-};
-
 /// Entry nodes, servers and callers on virtual time.
 class EntryFleet
 {
@@ -224,8 +84,8 @@
     /// Sends one request through the node \a index.
     void request(std::size_t index, const std::string &method, const std::string &path,
                  const std::string &body, Tally &tally);
-    /// Sends a poisonous request through a ready node every \a gap for \a span.
-    void repeatPoison(const std::string &path, Duration gap, Duration span);
+    /// Sends a poisonous request through \a copies ready nodes at once, every \a gap for \a span.
+    void repeatPoison(const std::string &path, Duration gap, Duration span, std::size_t copies = 1);
     /// Sends requests with bodies of their own through all nodes.
     void startInnocents(Duration gapPerNode, Duration span);
     /// Kills one node after the other every \a gap for \a span; each starts again after half of it.
--- a/src/daemon/tests/poisonfleettest.cpp
+++ b/src/daemon/tests/poisonfleettest.cpp
@@ -354,3 +354,48 @@
     fleet->run(1s);
     CHECK_EQUAL(1U, fleet->poison.refusedAsPoisonous);
 }
+
+// The links to one node hold up what engines sent before they crashed.
+TEST(PoisonFleet, requestStaysRefusedThoughBytesOfCrashedServersArriveLate)
+{
+    build();
+    fleet->net.extraDelay = [this](const std::string &from, const std::string &to) {
+        const bool isHeldUp = to == fleet->addressOf(3) && from.rfind("10.1.", 0) == 0;
+        return isHeldUp && fleet->timers.now() - TimePoint{} > 4s ? Duration(700ms) : Duration(0);
+    };
+    for (const auto &server : fleet->servers)
+        server->options.events = server->options.events > 0 ? 200 : 0;
+    for (int i = 0; i < 36; ++i)
+        fleet->request(3, "POST", "/stream/long", "body " + std::to_string(i), fleet->innocents);
+    fleet->run(2s);
+    fleet->repeatPoison("/stream/p", 300ms, 20s);
+    fleet->run(60s);
+    checkContained("/stream/p");
+    CHECK_EQUAL(0U, fleet->innocents.refusedAsPoisonous);
+}
+
+// A suspended node reads, when it goes on, what engines sent before they crashed.
+TEST(PoisonFleet, requestStaysRefusedThoughASuspendedNodeReadsBytesOfCrashedServers)
+{
+    build();
+    for (const auto &server : fleet->servers)
+        server->options.events = server->options.events > 0 ? 200 : 0;
+    for (int i = 0; i < 36; ++i)
+        fleet->request(3, "POST", "/stream/long", "body " + std::to_string(i), fleet->innocents);
+    fleet->run(1s);
+    fleet->net.extraDelay = [this](const std::string &from, const std::string &to) {
+        const bool isHeldUp = to == fleet->addressOf(3) && from.rfind("10.1.", 0) == 0;
+        return isHeldUp ? Duration(100ms) : Duration(0);
+    };
+    fleet->run(1s);
+    for (int round = 0; round < 6; ++round) {
+        fleet->request(0, "POST", "/stream/p", "poison", fleet->poison);
+        fleet->run(60ms);
+        fleet->pauseNode(3);
+        fleet->run(2900ms);
+        fleet->resumeNode(3);
+        fleet->run(40ms);
+    }
+    fleet->run(60s);
+    checkContained("/stream/p");
+}
--- a/src/daemon/tests/poisonsoak.cpp
+++ b/src/daemon/tests/poisonsoak.cpp
@@ -13,8 +13,28 @@
 static constexpr Duration Span = 40s;
 // The longest time-out of a route, and some more.
 static constexpr Duration Rundown = 30s;
+static constexpr Duration LookalikeGap = 100ms;
 
-PoisonSoak::PoisonSoak(std::uint64_t seed) : m_random(seed), m_fleet(fleetOptions(seed)) {}
+PoisonSoak::PoisonSoak(std::uint64_t seed) : m_random(seed), m_fleet(fleetOptions(seed))
+{
+    m_fleet.net.extraDelay = [this](const std::string &, const std::string &to) {
+        constexpr Duration HeldUp = 700ms;
+        return m_heldUp.contains(to) ? HeldUp : Duration::zero();
+    };
+    const Duration crashDelay = 2ms + m_random.jitter(100ms);
+    const bool doPortsChange = m_random.chance(0.3);
+    const bool doCrashesComeLate = m_random.chance(0.3);
+    for (const std::unique_ptr<SimServer> &server : m_fleet.servers) {
+        server->options.restartAfter = 1500ms + m_random.jitter(3s);
+        server->options.crashDelay = crashDelay;
+        server->options.changesPort = doPortsChange;
+        if (server->options.events == 0)
+            continue;
+        server->options.events = 10 + static_cast<std::uint32_t>(m_random.uniformBelow(90));
+        server->options.eventsBeforeCrash =
+                doCrashesComeLate ? static_cast<std::uint32_t>(m_random.uniformBelow(8)) : 0;
+    }
+}
 
 EntryFleet::Options PoisonSoak::fleetOptions(std::uint64_t seed)
 {
@@ -24,9 +44,12 @@
     options.nodes = 3 + random.uniformBelow(10);
     if (random.chance(0.1))
         options.nodes = 30;
+    if (random.chance(0.02))
+        options.nodes = 90;
     options.plainServers = 3 + random.uniformBelow(4);
     options.crash = random.chance(0.3) ? SimEnd::Silent : SimEnd::Reset;
     options.doServersKeepIds = random.chance(0.3);
+    options.storeEra = 1;
     return options;
 }
 
@@ -47,43 +70,88 @@
 void PoisonSoak::disturb()
 {
     const std::size_t node = m_random.uniformBelow(m_fleet.nodeCount());
-    SimServer &server = *m_fleet.servers[m_random.uniformBelow(m_fleet.servers.size())];
     const Duration span = 500ms + m_random.jitter(3500ms);
-    switch (m_random.uniformBelow(9)) {
+    switch (m_random.uniformBelow(4)) {
     case 0:
-        restart(node, span);
+        disturbNode(node, span);
         break;
     case 1:
-        for (std::size_t i = 0; i < m_fleet.nodeCount(); ++i) {
-            if (m_random.chance(0.6))
-                restart(i, span);
-        }
+        disturbServers(span);
         break;
     case 2:
+        disturbStore(span);
+        break;
+    default:
         note("", span);
         m_fleet.cutZone(m_fleet.zoneOf(node).text());
         m_fleet.timers.scheduleAfter(span, [this] { m_fleet.cutZone(std::nullopt); });
         break;
-    case 3:
-        note("", span);
-        m_fleet.setStoreUp(false);
-        m_fleet.timers.scheduleAfter(span, [this] { m_fleet.setStoreUp(true); });
+    }
+}
+
+void PoisonSoak::disturbNode(std::size_t node, Duration span)
+{
+    switch (m_random.uniformBelow(6)) {
+    case 0:
+        restart(node, span);
         break;
-    case 4:
+    case 1:
+        for (std::size_t i = 0; i < m_fleet.nodeCount(); ++i) {
+            if (m_random.chance(0.6))
+                restart(i, span);
+        }
+        break;
+    case 2:
         noteNode(node, span);
         m_fleet.nodesWithoutStore.insert(node);
         m_fleet.timers.scheduleAfter(span, [this, node] { m_fleet.nodesWithoutStore.erase(node); });
         break;
-    case 5:
+    case 3:
         m_fleet.nodesWithoutPeers.insert(node);
         m_fleet.timers.scheduleAfter(span, [this, node] { m_fleet.nodesWithoutPeers.erase(node); });
         break;
-    case 6:
+    case 4:
+        if (!m_fleet.isUp(node))
+            return;
+        noteNode(node, span);
+        m_fleet.pauseNode(node);
+        m_fleet.timers.scheduleAfter(span, [this, node] {
+            if (m_fleet.isUp(node))
+                m_fleet.resumeNode(node);
+        });
+        break;
+    default:
+        noteNode(node, span);
+        m_heldUp.insert(m_fleet.addressOf(node));
+        m_fleet.timers.scheduleAfter(
+                span, [this, host = m_fleet.addressOf(node)] { m_heldUp.erase(host); });
+        break;
+    }
+}
+
+void PoisonSoak::disturbServers(Duration span)
+{
+    SimServer &server = *m_fleet.servers[m_random.uniformBelow(m_fleet.servers.size())];
+    switch (m_random.uniformBelow(6)) {
+    case 0:
         server.crash(m_random.chance(0.5) ? SimEnd::Reset : SimEnd::Silent);
         break;
-    case 7:
+    case 1:
+        for (const std::unique_ptr<SimServer> &each : m_fleet.servers) {
+            if (each->options.service == server.options.service)
+                each->crash(SimEnd::Reset);
+        }
+        break;
+    case 2:
         server.leave();
         break;
+    case 3:
+        server.resetConnections();
+        break;
+    case 4:
+        server.options.errorShare = 0.3;
+        m_fleet.timers.scheduleAfter(span, [&server] { server.options.errorShare = 0; });
+        break;
     default:
         server.options.resetShare = 0.4;
         m_fleet.timers.scheduleAfter(span, [&server] { server.options.resetShare = 0; });
@@ -91,6 +159,48 @@
     }
 }
 
+void PoisonSoak::disturbStore(Duration span)
+{
+    note("", span);
+    SimStore &store = m_fleet.store;
+    switch (m_random.uniformBelow(5)) {
+    case 0:
+        m_fleet.setStoreUp(false);
+        m_fleet.timers.scheduleAfter(span, [this] { m_fleet.setStoreUp(true); });
+        break;
+    case 1:
+        store.latency = 300ms + m_random.jitter(600ms);
+        m_fleet.timers.scheduleAfter(span, [&store] { store.latency = 4ms; });
+        break;
+    case 2:
+        store.isBusy = true;
+        m_fleet.timers.scheduleAfter(span, [&store] { store.isBusy = false; });
+        break;
+    case 3:
+        for (std::size_t i = 0; i < m_fleet.nodeCount(); ++i) {
+            if (m_random.chance(0.5))
+                store.unanswered.insert(m_fleet.addressOf(i));
+        }
+        m_fleet.timers.scheduleAfter(span, [&store] { store.unanswered.clear(); });
+        break;
+    default:
+        store.restore(m_random.jitter(4s));
+        break;
+    }
+}
+
+// Harmless requests that have the method, path and organisation of a poisonous one.
+void PoisonSoak::sendLookalikes(Duration span)
+{
+    if (span < Duration::zero())
+        return;
+    const std::string &path = m_paths[m_random.uniformBelow(m_paths.size())];
+    m_fleet.request(m_fleet.randomReadyNode(), "POST", path,
+                    "harmless " + std::to_string(m_random.next64()), m_fleet.innocents);
+    m_fleet.timers.scheduleAfter(LookalikeGap,
+                                 [this, span] { sendLookalikes(span - LookalikeGap); });
+}
+
 bool PoisonSoak::isInTouch(const std::string &host, TimePoint when) const
 {
     return std::none_of(m_disruptions.begin(), m_disruptions.end(), [&](const Disruption &each) {
@@ -115,10 +225,12 @@
     const std::size_t requests = 1 + m_random.uniformBelow(3);
     for (std::size_t i = 0; i < requests; ++i) {
         static constexpr const char *Paths[] = {"/safe/p", "/once/p", "/stream/p"};
-        const std::string path = Paths[m_random.uniformBelow(3)] + std::to_string(i);
-        m_fleet.repeatPoison(path, 200ms + m_random.jitter(800ms), Span);
+        m_paths.push_back(Paths[m_random.uniformBelow(3)] + std::to_string(i));
+        const std::size_t copies = m_random.chance(0.3) ? 1 + m_random.uniformBelow(4) : 1;
+        m_fleet.repeatPoison(m_paths.back(), 200ms + m_random.jitter(800ms), Span, copies);
     }
     m_fleet.startInnocents(150ms, Span);
+    sendLookalikes(Span);
     for (Duration elapsed(0); elapsed < Span;) {
         const Duration pause = m_random.jitter(3s);
         m_fleet.run(pause);
--- a/src/daemon/tests/poisonsoak.h
+++ b/src/daemon/tests/poisonsoak.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,10 @@
 
     static EntryFleet::Options fleetOptions(std::uint64_t seed);
     void disturb();
+    void disturbNode(std::size_t node, Duration span);
+    void disturbServers(Duration span);
+    void disturbStore(Duration span);
+    void sendLookalikes(Duration span);
     void restart(std::size_t node, Duration downTime);
     void note(const std::string &host, Duration span);
     void noteNode(std::size_t node, Duration span) { note(m_fleet.addressOf(node), span); }
@@ -50,6 +55,8 @@
     RandomSource m_random;
     EntryFleet m_fleet;
     std::vector<Disruption> m_disruptions;
+    std::vector<std::string> m_paths; ///< Of the poisonous requests.
+    std::set<std::string> m_heldUp;   ///< Hosts to which messages take long.
 };
 
 } // namespace currantwalk
--- a/src/daemon/tests/simnet.cpp
+++ b/src/daemon/tests/simnet.cpp
@@ -1,5 +1,6 @@
 #include "daemon/tests/simnet.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace currantwalk {
@@ -109,7 +110,12 @@
 
 void SimNet::deliver(const std::string &from, const std::string &host, std::function<void()> action)
 {
-    m_timers.scheduleAfter(Latency, [this, from, host, action = std::move(action)] {
+    TimePoint arrival = m_timers.now() + Latency;
+    if (extraDelay) {
+        TimePoint &last = m_lastArrivals[{from, host}];
+        arrival = last = std::max(arrival + extraDelay(from, host), last);
+    }
+    m_timers.scheduleAt(arrival, [this, from, host, action = std::move(action)] {
         if (!canReach(from, host))
             return;
         const auto timers = m_hosts.find(host);
--- a/src/daemon/tests/simnet.h
+++ b/src/daemon/tests/simnet.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/virtualtimerservice.h"
@@ -38,8 +39,8 @@
     bool isMuted = false; ///< Whether its server has gone silent.
 };
 
-/// HTTP between hosts on shared virtual time. Messages of one direction arrive in order after a
-/// constant latency; between hosts that are cut off from each other they are lost.
+/// HTTP between hosts on shared virtual time. Messages of one direction arrive in order; between
+/// hosts that are cut off from each other they are lost.
 class SimNet
 {
 public:
@@ -54,6 +55,8 @@
 
     /// Returns whether messages between two hosts arrive; all do if it is not set.
     std::function<bool(const std::string &from, const std::string &to)> isReachable;
+    /// Returns how much longer than the latency a message takes; no longer if it is not set.
+    std::function<Duration(const std::string &from, const std::string &to)> extraDelay;
 
     void addHost(const std::string &host, NodeTimers &timers) { m_hosts[host] = &timers; }
     /// Ends all listeners and exchanges of \a host, whose hooks are not called any more.
@@ -83,6 +86,7 @@
     bool canReach(const std::string &from, const std::string &to) const;
 
     VirtualTimerService &m_timers;
+    std::map<std::pair<std::string, std::string>, TimePoint> m_lastArrivals;
     std::map<std::string, NodeTimers *> m_hosts; ///< Other hosts run without timers of their own.
     std::map<Endpoint, HttpHandler> m_listeners;
     std::set<Endpoint> m_silent; ///< Endpoints that went silent.
--- /dev/null
+++ b/src/daemon/tests/simserver.cpp
@@ -0,0 +1,235 @@
+#include "daemon/tests/simserver.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/json.h"
+
+namespace currantwalk {
+
+static constexpr const char *TargetsTopic = "targets";
+static constexpr Duration BeatInterval = std::chrono::milliseconds(1200);
+static constexpr int MissedBeats = 3;
+// From when a server breaks off an event until it resets the connection.
+static constexpr Duration BreakDelay = std::chrono::milliseconds(2);
+
+static std::uint64_t unixTime(TimePoint now)
+{
+    return static_cast<std::uint64_t>(now.time_since_epoch().count()) + 1;
+}
+
+SimServer::SimServer(SimNet &net, SimStore &store, SimPoisonLogs &poison,
+                     RandomSource &randomSource, Options serverOptions, std::string name)
+    : options(std::move(serverOptions)),
+      m_net(net),
+      m_store(store),
+      m_poison(poison),
+      m_random(randomSource),
+      m_name(std::move(name))
+{
+}
+
+void SimServer::start()
+{
+    if (m_start > 0 && options.changesPort)
+        ++options.endpoint.port;
+    ++m_start;
+    m_isUp = true;
+    m_isLeaving = false;
+    m_bornAt = unixTime(m_net.timers().now());
+    m_id = options.keepsId ? m_name : m_name + "-" + std::to_string(m_start);
+    m_net.listen(options.endpoint,
+                 [this](std::shared_ptr<HttpExchange> exchange) { take(std::move(exchange)); });
+    beat();
+}
+
+void SimServer::beat()
+{
+    writeEntry(m_isLeaving);
+    m_net.timers().scheduleAfter(BeatInterval, [this, start = m_start] {
+        if (m_isUp && start == m_start)
+            beat();
+    });
+}
+
+void SimServer::writeEntry(bool isLeaving)
+{
+    Json::Value entry(Json::objectValue);
+    entry["service"] = options.service;
+    entry["zone"] = options.zone.text();
+    entry["endpoint"] = options.endpoint.toString();
+    entry["leaving"] = isLeaving;
+    entry["born"] = Json::UInt64(m_bornAt);
+    m_store.append(TargetsTopic, m_id, writeJson(entry));
+}
+
+void SimServer::stop(SimEnd end)
+{
+    m_isUp = false;
+    m_work.clear();
+    m_net.close(options.endpoint, end);
+}
+
+void SimServer::crash(SimEnd end)
+{
+    if (!m_isUp)
+        return;
+    stop(end);
+    const std::string id = m_id;
+    const std::uint64_t start = m_start;
+    m_net.timers().scheduleAfter(BeatInterval * MissedBeats, [this, id, start] {
+        if (!options.keepsId || m_start == start)
+            m_store.append(TargetsTopic, id, std::nullopt);
+    });
+    m_net.timers().scheduleAfter(options.restartAfter, [this] { this->start(); });
+}
+
+void SimServer::leave()
+{
+    if (!m_isUp)
+        return;
+    m_isLeaving = true;
+    writeEntry(true);
+    m_net.timers().scheduleAfter(options.leavingTime, [this, start = m_start] {
+        if (!m_isUp || start != m_start)
+            return;
+        stop(SimEnd::Reset);
+        m_store.append(TargetsTopic, m_id, std::nullopt);
+        m_net.timers().scheduleAfter(options.restartAfter, [this] { this->start(); });
+    });
+}
+
+void SimServer::resetConnections()
+{
+    if (!m_isUp)
+        return;
+    m_work.clear();
+    m_net.close(options.endpoint, SimEnd::Reset);
+    m_net.listen(options.endpoint,
+                 [this](std::shared_ptr<HttpExchange> exchange) { take(std::move(exchange)); });
+}
+
+void SimServer::take(std::shared_ptr<HttpExchange> exchange)
+{
+    const auto target = findHeader(exchange->request().headers, "target");
+    if (target && *target != m_id) {
+        exchange->start({421, {}});
+        exchange->finish();
+        return;
+    }
+    if (!options.keepsCopies && findHeader(exchange->request().headers, "copy")) {
+        exchange->start({503, {{"not-run", "1"}}});
+        exchange->finish();
+        return;
+    }
+    if (exchange->request().body.rfind(PoisonMark, 0) == 0)
+        m_poison[exchange->request().path].arrivals.push_back(
+                {m_net.timers().now(), exchange->remoteAddress()});
+    const auto work = std::make_shared<Work>();
+    work->exchange = std::move(exchange);
+    // The exchange owns the hook, and the work owns the exchange.
+    work->exchange->onClosed([this, weak = std::weak_ptr<Work>(work)] {
+        if (const std::shared_ptr<Work> closed = weak.lock())
+            end(closed);
+    });
+    m_work.push_back(work);
+    beginNext();
+}
+
+void SimServer::beginNext()
+{
+    std::uint32_t running = 0;
+    for (const std::shared_ptr<Work> &work : m_work)
+        running += work->hasBegun ? 1 : 0;
+    for (const std::shared_ptr<Work> &work : m_work) {
+        if (work->hasBegun || running >= options.slots)
+            continue;
+        ++running;
+        work->hasBegun = true;
+        m_net.timers().scheduleAfter(options.work, [this, work, start = m_start] {
+            if (m_isUp && start == m_start && !work->exchange->isClosed())
+                this->work(work);
+        });
+    }
+}
+
+void SimServer::work(const std::shared_ptr<Work> &work)
+{
+    const HttpRequest &request = work->exchange->request();
+    if (options.errorShare > 0 && m_random.chance(options.errorShare)) {
+        work->exchange->start({500, {}});
+        work->exchange->finish();
+        end(work);
+        return;
+    }
+    const bool isPoison = request.body.rfind(PoisonMark, 0) == 0;
+    if (isPoison && options.eventsBeforeCrash == 0) {
+        m_net.timers().scheduleAfter(options.crashDelay,
+                                     [this, path = request.path, start = m_start] {
+                                         if (!m_isUp || start != m_start)
+                                             return;
+                                         m_poison[path].crashes.push_back(m_net.timers().now());
+                                         crash(options.crash);
+                                     });
+        return;
+    }
+    if (options.resetShare > 0 && m_random.chance(options.resetShare)) {
+        work->exchange->abort();
+        end(work);
+        return;
+    }
+    const bool isStream = options.events > 0;
+    work->exchange->start({200, {}});
+    if (isStream) {
+        const auto resume = findHeader(request.headers, "last-event");
+        work->events = resume ? static_cast<std::uint32_t>(std::stoul(std::string(*resume))) : 0;
+        writeEvent(work);
+        return;
+    }
+    work->exchange->write("answer to " + request.body);
+    work->exchange->finish();
+    end(work);
+}
+
+void SimServer::writeEvent(const std::shared_ptr<Work> &work)
+{
+    if (!m_isUp || work->exchange->isClosed())
+        return;
+    const HttpRequest &request = work->exchange->request();
+    const bool isPoison = request.body.rfind(PoisonMark, 0) == 0;
+    if (isPoison && work->events >= options.eventsBeforeCrash) {
+        m_poison[request.path].crashes.push_back(m_net.timers().now());
+        crash(options.crash);
+        return;
+    }
+    if (options.breakShare > 0 && m_random.chance(options.breakShare)) {
+        work->exchange->write("id: " + std::to_string(work->events + 1) + "\nda");
+        const std::shared_ptr<HttpExchange> exchange = work->exchange;
+        end(work);
+        m_net.timers().scheduleAfter(BreakDelay, [exchange] {
+            if (!exchange->isClosed())
+                exchange->abort();
+        });
+        return;
+    }
+    ++work->events;
+    work->exchange->write("id: " + std::to_string(work->events) + "\ndata: x\n\n");
+    if (work->events >= options.events) {
+        work->exchange->finish();
+        end(work);
+        return;
+    }
+    m_net.timers().scheduleAfter(options.eventGap, [this, work, start = m_start] {
+        if (start == m_start)
+            writeEvent(work);
+    });
+}
+
+void SimServer::end(const std::shared_ptr<Work> &work)
+{
+    m_work.erase(std::remove(m_work.begin(), m_work.end(), work), m_work.end());
+    if (m_isUp)
+        beginNext();
+}
+
+} // namespace currantwalk
