Bytes that a crashed target sent before its end do not withdraw its death

Callers saw: a request that crashes its servers was sent on after it had been refused, wherever one node read old bytes late; each time it cost two servers and all that ran on them.

Cause: any part of an answer counted as a sign of life at the moment at which it was read, with 250 ms allowed for its way. Bytes wait longer on a congested link, and a suspended node reads them when it goes on. The withdrawal went to all nodes. Class of fault: the time of reading taken for the time of sending. The same in messages between nodes (a lifetime that waited for a suspended node); ages of deaths and clearings err to the safe side.

Change: the answer to a request that was sent after the death is proof; what comes on an older connection is only after 2 s. A node that finds a gap of over 1 s between its ticks takes the last tick before it as the time of arrival. A withdrawal gets a log line, which told the hypotheses apart.

The tests of harmless requests beside resetting servers pass unchanged: none refused.

--- a/src/calls/poisontracker.cpp
+++ b/src/calls/poisontracker.cpp
@@ -28,7 +28,11 @@
 // A target that has not sent anything for this long is taken for silent.
 static constexpr Duration SilencePeriod = std::chrono::seconds(1);
 // What a target has sent before its death may arrive this much later.
-static constexpr Duration TransitAllowance = std::chrono::milliseconds(250);
+static constexpr Duration MaxTransit = std::chrono::seconds(2);
+// A longer pause between ticks shows that the node was suspended or got no processor time.
+static constexpr Duration MaxTickGap = std::chrono::seconds(1);
+// Messages between nodes are on their way for less than this.
+static constexpr Duration MessageTransit = std::chrono::milliseconds(250);
 // A target is not back sooner after a crash, so what answers in between has not crashed.
 static constexpr Duration MinRestartTime = std::chrono::seconds(1);
 // How long the end of a silent target may take to become known.
@@ -101,6 +105,7 @@
     void clear(std::uint64_t fingerprint) override { onClearing({fingerprint, Duration::zero()}); }
     bool onClearing(const PoisonClearing &clearing) override;
     bool onLifetime(const TargetLifetime &report) override;
+    void onTick() override;
     std::vector<Entry> entries() const override;
     std::vector<PoisonReport> reports(std::size_t maxRequests) const override;
     std::vector<PoisonReport> reportsOf(std::uint64_t fingerprint) const override;
@@ -108,6 +113,7 @@
 
 private:
     bool isExpired(const Record &record) const;
+    TimePoint observedAt() const;
     void extendLifetime(const TargetId &target, const Lifetime &seen);
     bool isAliveAfter(const Death &death) const;
     bool withdrawDeaths(const TargetId &target);
@@ -132,6 +138,8 @@
     std::unordered_map<TargetId, Lifetime> m_lifetimes;
     std::unordered_set<TargetId> m_blamedTargets; ///< Those of which a death is recorded.
     TimePoint m_nextRemovalAt{};
+    std::optional<TimePoint> m_lastTickAt;
+    std::optional<TimePoint> m_tickBeforeAt;
 };
 
 } // namespace
@@ -244,8 +252,10 @@
     run->lastPartAt = m_timers.now();
     if (!run->answeringSince)
         run->answeringSince = run->lastPartAt;
-    // One process has answered on one connection, from the start of the run until now.
-    extendLifetime(target, {run->incarnation, run->startedAt, m_timers.now()});
+    // The target has read the request, so it lived then. What it has sent may have been on its way
+    // for some time.
+    const TimePoint sentAt = std::max(run->startedAt, observedAt() - MaxTransit);
+    extendLifetime(target, {run->incarnation, run->startedAt, sentAt});
     if (!m_blamedTargets.contains(target) || !withdrawDeaths(target) || !m_hooks.onWithdrawn)
         return;
     const Lifetime &lifetime = m_lifetimes.at(target);
@@ -253,6 +263,20 @@
                          m_timers.now() - lifetime.until});
 }
 
+void PoisonTable::onTick()
+{
+    m_tickBeforeAt = std::exchange(m_lastTickAt, m_timers.now());
+}
+
+// Returns a time not later than the arrival of what the node reads now. A node that was suspended
+// reads what had arrived before.
+TimePoint PoisonTable::observedAt() const
+{
+    const TimePoint now = m_timers.now();
+    const bool wasSuspended = m_tickBeforeAt && now - *m_tickBeforeAt > MaxTickGap;
+    return wasSuspended ? *m_tickBeforeAt : now;
+}
+
 void PoisonTable::extendLifetime(const TargetId &target, const Lifetime &seen)
 {
     Lifetime &lifetime = m_lifetimes[target];
@@ -269,9 +293,9 @@
 
 bool PoisonTable::onLifetime(const TargetLifetime &report)
 {
-    const TimePoint now = m_timers.now();
-    extendLifetime(report.target,
-                   {report.incarnation, now - report.ageOfStart, now - report.ageOfEnd});
+    const TimePoint receivedAt = observedAt();
+    extendLifetime(report.target, {report.incarnation, receivedAt - report.ageOfStart,
+                                   receivedAt - report.ageOfEnd});
     return m_blamedTargets.contains(report.target) && withdrawDeaths(report.target);
 }
 
@@ -281,8 +305,7 @@
     const auto it = m_lifetimes.find(death.target);
     if (it == m_lifetimes.end() || it->second.incarnation != death.incarnation)
         return false;
-    return it->second.from <= death.at + MinRestartTime
-           && it->second.until >= death.at + TransitAllowance;
+    return it->second.from <= death.at + MinRestartTime && it->second.until >= death.at;
 }
 
 bool PoisonTable::withdrawDeaths(const TargetId &target)
@@ -475,7 +498,7 @@
     const TimePoint when = m_timers.now() - clearing.age;
     const auto [known, isAdded] = m_clearedAt.try_emplace(clearing.fingerprint, when);
     // Time in transit makes a clearing seem later with each node that passes it on.
-    const bool isNew = isAdded || known->second + TransitAllowance < when;
+    const bool isNew = isAdded || known->second + MessageTransit < when;
     if (isNew)
         known->second = when;
     const TimePoint clearedAt = known->second;
--- a/src/calls/poisontracker.h
+++ b/src/calls/poisontracker.h
@@ -102,7 +102,8 @@
     virtual void onRunning(std::uint64_t fingerprint, const TargetId &target,
                            Incarnation incarnation) = 0;
     /// Called when a part of the target's answer to the request arrives. Deaths of this start of
-    /// the target between the request's start and now are withdrawn.
+    /// the target are withdrawn if the request was sent after them, or if the part arrives so much
+    /// later that it can't have been on its way since.
     virtual void onAnswering(std::uint64_t fingerprint, const TargetId &target) = 0;
     /// Sets the text that describes a running request to operators.
     virtual void setSubject(std::uint64_t fingerprint, const TargetId &target,
@@ -130,6 +131,9 @@
     virtual bool onClearing(const PoisonClearing &clearing) = 0;
     /// Withdraws the deaths that the lifetime refutes; returns whether there were any.
     virtual bool onLifetime(const TargetLifetime &lifetime) = 0;
+    /// Called at intervals of less than half a second, by which a suspension of the node is
+    /// detected.
+    virtual void onTick() = 0;
     virtual std::vector<Entry> entries() const = 0;
     /// Returns the recorded deaths, those of refused requests first, of at most \a maxRequests
     /// requests.
--- a/src/calls/tests/poisontest.cpp
+++ b/src/calls/tests/poisontest.cpp
@@ -249,12 +249,55 @@
     timers.advance(1s);
     tracker->onLost(Harmless, first, 1);
     CHECK(tracker->suspicion(Harmless) == Suspicion::Suspect);
+    timers.advance(1900ms);
     tracker->onAnswering(Poison, first);
     CHECK(tracker->suspicion(Harmless) == Suspicion::Suspect);
-    timers.advance(300ms);
+    timers.advance(200ms);
     tracker->onAnswering(Poison, first);
     CHECK(tracker->suspicion(Harmless) == Suspicion::None);
-    CHECK(!tracker->onReport({Harmless, first, 1, 0, true, false, "", 300ms}));
+    CHECK(!tracker->onReport({Harmless, first, 1, 0, true, false, "", 2100ms}));
+}
+
+TEST(PoisonTracker, deathIsWithdrawnAtOnceIfTheTargetAnswersALaterRequest)
+{
+    tracker->onRunning(Harmless, first, 1);
+    tracker->onLost(Harmless, first, 1);
+    timers.advance(10ms);
+    tracker->onRunning(Poison, first, 1);
+    timers.advance(20ms);
+    tracker->onAnswering(Poison, first);
+    CHECK(tracker->suspicion(Harmless) == Suspicion::None);
+    CHECK(!tracker->onReport({Harmless, first, 1, 0, true, false, "", 30ms}));
+}
+
+// The parts had arrived while the node was suspended, before the target died.
+TEST(PoisonTracker, deathStandsIfASuspendedNodeReadsEarlierParts)
+{
+    tracker->onRunning(Harmless, first, 1);
+    tracker->onRunning(Poison, first, 1);
+    for (int tick = 0; tick < 4; ++tick) {
+        tracker->onTick();
+        timers.advance(250ms);
+    }
+    tracker->onLost(Poison, first, 1);
+    timers.advance(5s);
+    tracker->onAnswering(Harmless, first);
+    tracker->onTick();
+    tracker->onAnswering(Harmless, first);
+    CHECK(tracker->suspicion(Poison) == Suspicion::Suspect);
+}
+
+// A message that waited for the suspended node tells of a time before its arrival.
+TEST(PoisonTracker, deathStandsIfASuspendedNodeReadsAnEarlierLifetime)
+{
+    for (int tick = 0; tick < 4; ++tick) {
+        tracker->onTick();
+        timers.advance(250ms);
+    }
+    timers.advance(5s);
+    tracker->onReport({Poison, first, 1, 0, true, false, "", 3s});
+    tracker->onLifetime({first, 1, 1s, 10ms});
+    CHECK(tracker->suspicion(Poison) == Suspicion::Suspect);
 }
 
 TEST(PoisonTracker, deathStandsIfAnotherStartOfTheTargetAnswers)
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -439,6 +439,7 @@
 
 void EntryNode::tick()
 {
+    m_poison->onTick();
     m_targets.expire();
     askTargets();
     m_tickTimer = m_loop.timers().scheduleAfter(TickInterval, [this] { tick(); });
--- a/src/daemon/poisonexchange.cpp
+++ b/src/daemon/poisonexchange.cpp
@@ -81,6 +81,9 @@
 {
     if (!m_isStarted)
         return;
+    logLine(LogPart::Poison, LogLevel::Info,
+            "Target " + lifetime.target.text()
+                    + " answers on; the deaths recorded against it are withdrawn.");
     m_unsent.lifetimes.push_back(lifetime);
     sendSoon();
     for (const auto &[fingerprint, seenAt] : m_recorded) {
