What a target says in its answers: that it leaves, or for how long it wants nothing

Callers saw: requests sent to a target that had said in its answers that it leaves were cut when it ended; and while one target turned requests away for a time, each request that was placed there cost a retry, or was refused once the retry budget was spent.

Cause: no code knew the header for leaving, and a target's time to come back reached the caller and slowed nobody down.

A target that says it leaves takes no new work from then on, as after its own entry; streams on it move; other nodes are told with the loads. Its entry, if it still says ready, does not bring it back, not after 30 s either (the table forgot it then); a new start does. A target that turns requests away for a time is left out of placement, second sends, moves, copies and questions, also where the connection was being opened when it said so. Where all targets of a service want nothing, callers are refused at once with the shortest time left and up to a quarter more.

--- a/src/calls/relaycall.h
+++ b/src/calls/relaycall.h
@@ -44,8 +44,9 @@
     bool isTargetReplaced = false; ///< Another target now has the address; nothing has run.
     /// The answer belongs to another request, or was altered in transit.
     bool isMismatched = false;
-    bool isSigned = false;  ///< Carries the target's signature.
-    Duration retryAfter{0}; ///< Given by the target; 0 if it gave none.
+    bool isSigned = false;        ///< Carries the target's signature.
+    bool isTargetLeaving = false; ///< The target says that it is leaving.
+    Duration retryAfter{0};       ///< Given by the target; 0 if it gave none.
 };
 
 /// A copy of a running stream's memory, from which the stream can resume.
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -174,6 +174,9 @@
     if (m_targetsProvenAt)
         m_metrics.set("currantwalk_targets_age_seconds", {}, seconds(now - *m_targetsProvenAt));
     m_metrics.set("currantwalk_targets", {}, static_cast<double>(m_targets.size()));
+    m_metrics.set("currantwalk_targets_held_off", {},
+                  static_cast<double>(m_holdOffs.countHeldOff(now)));
+    m_metrics.set("currantwalk_targets_leaving", {}, static_cast<double>(m_targets.countLeaving()));
     m_metrics.set("currantwalk_requests_in_progress", {}, static_cast<double>(m_sessions.size()));
     std::map<Suspicion, std::size_t> poisonous{{Suspicion::Suspect, 0}, {Suspicion::Refused, 0}};
     for (const PoisonTracker::Entry &entry : m_poison->entries())
@@ -221,6 +224,7 @@
             m_bindings,
             m_catalog,
             m_targets,
+            m_holdOffs,
             m_placer,
             m_settings,
             m_fetcher,
@@ -232,6 +236,7 @@
                 return m_placer.chooseBackup(m_targets.usable(service), target, load, memoryTokens,
                                              m_loop.timers().now(), m_settings.zone);
             },
+            [this](const std::string &service) { return timeUntilReturn(service); },
             [this](const std::string &service) {
                 return allowance(service).trySpend(m_loop.timers().now());
             },
@@ -400,12 +405,40 @@
     exchange.finish();
 }
 
-// Ejected targets are used again where no other is left.
+bool EntryNode::isHeldOff(const ServiceTarget &target) const
+{
+    return m_holdOffs.remaining(target.id, target.entry.startedAt, m_loop.timers().now())
+           > Duration::zero();
+}
+
+// Answers load that targets turn away: the callers come back spread over the time after the first
+// of the targets takes work again.
+Duration EntryNode::timeUntilReturn(const std::string &service)
+{
+    constexpr int SpreadDivisor = 4;
+    const TimePoint now = m_loop.timers().now();
+    std::optional<Duration> shortest;
+    for (const ServiceTarget *target : m_targets.usable(service)) {
+        const Duration left = m_holdOffs.remaining(target->id, target->entry.startedAt, now);
+        shortest = std::min(left, shortest.value_or(left));
+    }
+    if (!shortest || *shortest == Duration::zero())
+        return Duration::zero();
+    return *shortest + m_random.jitter(*shortest / SpreadDivisor);
+}
+
+// Ejected targets are used again where no other is left; those that are held off are not.
 const ServiceTarget *EntryNode::choose(const std::string &service,
                                        const std::vector<TargetId> &excluded, const ZoneName &zone,
-                                       double spread) const
+                                       double spread)
 {
-    const std::vector<const ServiceTarget *> usable = m_targets.usable(service);
+    std::vector<const ServiceTarget *> usable = m_targets.usable(service);
+    const bool isDiverted =
+            !m_holdOffs.isEmpty() && std::erase_if(usable, [this](const ServiceTarget *each) {
+                                         return isHeldOff(*each);
+                                     }) > 0;
+    if (isDiverted)
+        m_metrics.count("currantwalk_diverted_choices_total", {{"service", service}});
     std::vector<const ServiceTarget *> sound;
     const TimePoint now = m_loop.timers().now();
     for (const ServiceTarget *target : usable) {
@@ -441,6 +474,7 @@
 {
     m_poison->onTick();
     m_targets.expire();
+    m_holdOffs.expire(m_loop.timers().now());
     askTargets();
     m_tickTimer = m_loop.timers().scheduleAfter(TickInterval, [this] { tick(); });
 }
--- a/src/daemon/entrynode.h
+++ b/src/daemon/entrynode.h
@@ -85,8 +85,10 @@
     void onCatalogNote(const NodeRecord &peer, const CatalogNote &note, TimePoint sentAt);
     void fetchCatalog(const NodeRecord &peer);
     void takeTarget(const KeyedRecord &record);
+    bool isHeldOff(const ServiceTarget &target) const;
+    Duration timeUntilReturn(const std::string &service);
     const ServiceTarget *choose(const std::string &service, const std::vector<TargetId> &excluded,
-                                const ZoneName &zone, double spread) const;
+                                const ZoneName &zone, double spread);
     std::uint32_t nodesSharing() const;
     NodeRetryBudget &allowance(const std::string &service);
     void tick();
@@ -103,6 +105,7 @@
     std::string m_catalogText; ///< The catalogue in force as it was published, for peers.
     bool m_isFetchingCatalog = false;
     ServiceTargets m_targets;
+    TargetHoldOffs m_holdOffs;
     TargetSelector m_placer;
     OutlierDetector m_outliers;
     std::unique_ptr<PoisonTracker> m_poison;
--- a/src/daemon/entrynodestore.cpp
+++ b/src/daemon/entrynodestore.cpp
@@ -361,7 +361,8 @@
         return;
     for (const auto &[id, load] : m_placer.ownLoads()) {
         const ServiceTarget *const target = m_targets.find(id);
-        if (target && load.tokens != 0 && target->phase != TargetPhase::Leaving)
+        if (target && load.tokens != 0 && target->phase != TargetPhase::Leaving
+            && !isHeldOff(*target))
             askTarget(*target);
     }
 }
--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -39,6 +39,11 @@
     return second <= Duration::zero() ? first : std::min(first, second);
 }
 
+static std::string millisecondText(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 RelaySession::RelaySession(RelayServices &services, std::shared_ptr<HttpExchange> exchange,
                            CallerRequest caller, AdmittedRequest admitted, std::string service,
                            std::uint64_t fingerprint, Done done)
@@ -192,6 +197,7 @@
 {
     TargetExchange &entry = m_exchanges.at(exchange);
     entry.wasSent = true;
+    m_services.holdOffs.onSent(entry.target, entry.incarnation, m_services.timers.now());
     m_services.poison.onRunning(m_fingerprint, entry.target, entry.incarnation);
     m_services.poison.setSubject(
             m_fingerprint, entry.target,
@@ -235,6 +241,9 @@
             m_services.choose(m_service, excluded, from->entry.zone, MoveSpread);
     if (!target || target->id == source)
         return std::nullopt;
+    // The source gets the order to copy.
+    if (!m_services.holdOffs.tryResume(source, from->entry.startedAt, m_services.timers.now()))
+        return std::nullopt;
     return target->id;
 }
 
@@ -248,11 +257,13 @@
     options.connectTimeout = ConnectTimeout;
     const Endpoint handleIssuer = from->entry.endpoint;
     reserve(move, destination);
-    const auto answer = [this, alive = m_alive, move, destination,
-                         handleIssuer](FetchResult result) {
+    const auto answer = [this, alive = m_alive, move, destination, handleIssuer, source,
+                         startedAt = from->entry.startedAt](FetchResult result) {
         if (!*alive)
             return;
         dropReservation(move);
+        if (result.status.ok() && m_services.bindings.readIsLeaving(result.response))
+            m_services.targets.applyLeavingNotice({source, startedAt});
         m_services.metrics.count("currantwalk_copies_total",
                                  {{"result", result.status.ok() ? "answered" : "lost"}});
         const absl::StatusOr<std::string> handle =
@@ -291,8 +302,12 @@
     m_reservations.erase(it);
 }
 
+// A copy that is not freed ends by itself after a time.
 void RelaySession::freeCopy(const TargetId &source, const StreamCopy &copy)
 {
+    const ServiceTarget *const holder = m_services.targets.find(source);
+    if (holder && isHeldOff(*holder))
+        return;
     HttpCallOptions options;
     options.endpoint = copy.handleIssuer;
     options.isConnectionKept = false;
@@ -334,6 +349,8 @@
     const ServiceTarget *const holder = m_services.targets.find(id);
     if (!holder || holder->phase == TargetPhase::Leaving || !mayGoOn() || isPoisonous())
         return std::nullopt;
+    if (!m_services.holdOffs.tryResume(id, holder->entry.startedAt, m_services.timers.now()))
+        return std::nullopt;
     return StreamCopy{id, holder->entry.endpoint, m_caller.id.text(), true};
 }
 
@@ -389,8 +406,9 @@
     hooks.mayWrite = [this, exchange, target, isResumed] {
         const ServiceTarget *const current = m_services.targets.find(target);
         const bool isAllowed = isResumed ? mayGoOn() : mayUseKey(m_services.settings.maxKeyAge);
-        const bool mayWrite = isAllowed && current && current->phase != TargetPhase::Leaving
-                              && m_call->onConnected(exchange);
+        const bool isTaking = current && current->phase != TargetPhase::Leaving
+                              && (isResumed || !isHeldOff(*current));
+        const bool mayWrite = isAllowed && isTaking && m_call->onConnected(exchange);
         if (mayWrite)
             noteRunning(exchange);
         return mayWrite;
@@ -402,7 +420,9 @@
             return;
         it->second.head = head;
         m_services.poison.onAnswering(m_fingerprint, it->second.target);
-        m_call->onHead(exchange, m_services.bindings.readAnswerHead(head, m_caller.id));
+        const RelayAnswerHead answer = m_services.bindings.readAnswerHead(head, m_caller.id);
+        noteTargetState(it->second.target, it->second.incarnation, answer);
+        m_call->onHead(exchange, answer);
         finishIfSettled();
     };
     hooks.onBody = [this, exchange](std::string_view bytes) {
@@ -424,6 +444,41 @@
     return hooks;
 }
 
+bool RelaySession::isHeldOff(const ServiceTarget &target) const
+{
+    return m_services.holdOffs.remaining(target.id, target.entry.startedAt, m_services.timers.now())
+           > Duration::zero();
+}
+
+// Takes what the target says of itself in an answer, whatever becomes of the answer.
+void RelaySession::noteTargetState(const TargetId &target, Incarnation incarnation,
+                                   const RelayAnswerHead &answer)
+{
+    // Another target has the address.
+    if (answer.isTargetReplaced)
+        return;
+    const TimePoint now = m_services.timers.now();
+    const ServiceTarget *const known = m_services.targets.find(target);
+    if (answer.isTargetLeaving && known && known->phase != TargetPhase::Leaving) {
+        logRequest(LogPart::Targets, LogLevel::Info, m_caller.id.text(),
+                   "Target " + target.text() + " says in its answer that it is leaving.");
+        m_services.metrics.count("currantwalk_leaving_answers_total");
+    }
+    if (answer.isTargetLeaving)
+        m_services.targets.applyLeavingNotice({target, incarnation});
+    if (answer.status != 503) {
+        m_services.holdOffs.onTaken(target, incarnation, now);
+        return;
+    }
+    if (answer.retryAfter <= Duration::zero())
+        return;
+    m_services.holdOffs.onTurnedAway(target, incarnation, answer.retryAfter, now);
+    m_services.metrics.count("currantwalk_hold_offs_total", {{"service", m_service}});
+    logRequest(LogPart::Targets, LogLevel::Info, m_caller.id.text(),
+               "Target " + target.text() + " turned the request away and wants nothing for "
+                       + millisecondText(answer.retryAfter) + " ms.");
+}
+
 // The exchange is dropped in the loop's next round, since this may be called from its callback.
 void RelaySession::abandon(std::uint64_t exchange)
 {
@@ -506,11 +561,6 @@
                && m_longestGap > route.eventGapObjective);
 }
 
-static std::string millisecondText(Duration duration)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 void RelaySession::fail(const RelayFailure &failure)
 {
     EntryRefusal refusal;
@@ -519,7 +569,9 @@
     if (failure.outcome == Outcome::NotRun) {
         refusal.status = 503;
         const Duration fallback = code == ErrorCode::NoTarget ? NoTargetRetryAfter : BusyRetryAfter;
-        refusal.retryAfter = failure.retryAfter > Duration::zero() ? failure.retryAfter : fallback;
+        const Duration untilReturn = m_services.timeUntilReturn(m_service);
+        // What one target has asked for does not matter while others take work.
+        refusal.retryAfter = untilReturn > Duration::zero() ? untilReturn : fallback;
     } else {
         refusal.status = code == ErrorCode::DeadlineExceeded ? 504 : 502;
     }
--- a/src/daemon/relaysession.h
+++ b/src/daemon/relaysession.h
@@ -10,6 +10,7 @@
 #include "net/fetcher.h"
 #include "observe/metrics.h"
 #include "routing/targetselector.h"
+#include "targets/targetholdoffs.h"
 
 namespace currantwalk {
 
@@ -21,6 +22,7 @@
     const EntryBindings &bindings;
     const CatalogHolder &catalog;
     ServiceTargets &targets;
+    TargetHoldOffs &holdOffs;
     TargetSelector &placer;
     const EntrySettings &settings;
     Fetcher &fetcher; ///< For calls to engines.
@@ -33,6 +35,8 @@
     std::function<const ServiceTarget *(const std::string &service, const TargetId &target,
                                         const RequestLoad &load, std::uint32_t memoryTokens)>
             chooseBackup;
+    /// Returns how long all targets of \a service want nothing; zero if one takes work.
+    std::function<Duration(const std::string &service)> timeUntilReturn;
     std::function<bool(const std::string &service)> takeRetry;
     std::function<void(const TargetId &target, SendResult service)> report;
     std::function<void(HttpExchange &exchange, const EntryRefusal &refusal)> refuse;
@@ -86,6 +90,9 @@
     bool isPoisonous() const;
     void noteRunning(std::uint64_t exchange);
     void noteLost(std::uint64_t exchange);
+    bool isHeldOff(const ServiceTarget &target) const;
+    void noteTargetState(const TargetId &target, Incarnation incarnation,
+                         const RelayAnswerHead &answer);
     std::optional<TargetId> place(const std::vector<TargetId> &excluded);
     std::optional<TargetId> chooseMoveTarget(const TargetId &source,
                                              const std::vector<TargetId> &excluded);
--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -249,6 +249,9 @@
     answer.isSigned = true;
     answer.isTargetReplaced = head.status == 421;
     answer.isNotRun = findHeader(head.headers, "not-run").has_value();
+    answer.isTargetLeaving = findHeader(head.headers, "leaving").has_value();
+    if (const auto milliseconds = findHeader(head.headers, "retry-after"))
+        answer.retryAfter = std::chrono::milliseconds(std::stoll(std::string(*milliseconds)));
     return answer;
 }
 
@@ -259,8 +262,12 @@
     bindings.writeSend = &writeSend;
     bindings.readAnswerHead = &readAnswerHead;
     bindings.writeRefusal = [](const EntryRefusal &refusal) {
+        const auto retryAfter =
+                std::chrono::duration_cast<std::chrono::milliseconds>(refusal.retryAfter);
         return HttpResponseHead{refusal.status,
-                                {{"content-length", "0"}, {"reason", std::string(refusal.reason)}}};
+                                {{"content-length", "0"},
+                                 {"reason", std::string(refusal.reason)},
+                                 {"retry-after", std::to_string(retryAfter.count())}}};
     };
     bindings.writeCopy = [](const RequestId &, const Endpoint &) {
         return HttpRequest{"POST", "/copy", {}, {}};
@@ -316,6 +323,8 @@
     hooks.onHead = [this, number](const HttpResponseHead &head) {
         m_callers[number].status = head.status;
         m_callers[number].reason = std::string(findHeader(head.headers, "reason").value_or(""));
+        m_callers[number].retryAfter = std::chrono::milliseconds(
+                std::stoll(std::string(findHeader(head.headers, "retry-after").value_or("0"))));
     };
     hooks.onBody = [this, number](std::string_view part) { m_callers[number].body += part; };
     hooks.onEnd = [this, number, &tally](const absl::Status &status) {
@@ -324,14 +333,19 @@
         --tally.open;
         if (m_callers[number].reason == errorName(ErrorCode::PoisonousRequest))
             ++tally.refusedAsPoisonous;
-        if (status.ok() && code == 200)
+        if (status.ok() && code == 200) {
             ++tally.served;
-        else if (status.ok() && code == 503)
+        } else if (status.ok() && code == 503) {
             ++tally.refused;
-        else
+            tally.retryAfters.push_back(m_callers[number].retryAfter);
+            tally.slowestRefusal =
+                    std::max(tally.slowestRefusal, timers.now() - m_callers[number].sentAt);
+        } else {
             ++tally.failed;
+        }
         timers.scheduleAfter(Duration::zero(), [this, number] { m_callers.erase(number); });
     };
+    m_callers[number].sentAt = timers.now();
     HttpRequest sent{method, path, {{"id", "r" + std::to_string(number)}}, body};
     m_callers[number].call = net.send(CallersHost, options, std::move(sent), std::move(hooks));
 }
@@ -396,9 +410,9 @@
     if (record.crashes.size() < BoundedCrashes)
         return 0;
     const TimePoint from = record.crashes[BoundedCrashes - 1] + slack;
-    return static_cast<std::size_t>(std::count_if(
-            record.arrivals.begin(), record.arrivals.end(),
-            [from](const SimPoisonLog::Arrival &arrival) { return arrival.when > from; }));
+    return static_cast<std::size_t>(
+            std::count_if(record.arrivals.begin(), record.arrivals.end(),
+                          [from](const SimArrival &arrival) { return arrival.when > from; }));
 }
 
 } // namespace currantwalk
--- a/src/daemon/tests/entryfleet.h
+++ b/src/daemon/tests/entryfleet.h
@@ -46,6 +46,8 @@
         std::uint32_t refusedAsPoisonous = 0; ///< Of those refused.
         std::uint32_t failed = 0;
         std::uint32_t open = 0;
+        std::vector<Duration> retryAfters; ///< Told with each refusal.
+        Duration slowestRefusal{0};
         std::uint32_t disordered = 0; ///< Streams whose events are not 1, 2, 3 and so on.
     };
 
@@ -120,6 +122,8 @@
         std::unique_ptr<HttpCall> call;
         int status = 0;
         std::string reason;
+        Duration retryAfter{0};
+        TimePoint sentAt{};
         std::string body;
     };
 
--- a/src/daemon/tests/poisonsoak.cpp
+++ b/src/daemon/tests/poisonsoak.cpp
@@ -214,8 +214,8 @@
     if (log.crashes.size() < ToleratedCrashes)
         return 0;
     const TimePoint from = log.crashes[ToleratedCrashes - 1] + Window;
-    return static_cast<std::size_t>(std::count_if(
-            log.arrivals.begin(), log.arrivals.end(), [&](const SimPoisonLog::Arrival &arrival) {
+    return static_cast<std::size_t>(
+            std::count_if(log.arrivals.begin(), log.arrivals.end(), [&](const SimArrival &arrival) {
                 return arrival.when > from && isInTouch(arrival.host, arrival.when);
             }));
 }
@@ -231,8 +231,10 @@
     }
     m_fleet.startInnocents(150ms, Span);
     sendLookalikes(Span);
+    // Where disruptions are rare, nodes are in touch for longer, and more is asked of them.
+    const Duration maxPause = m_random.chance(0.5) ? 3s : 15s;
     for (Duration elapsed(0); elapsed < Span;) {
-        const Duration pause = m_random.jitter(3s);
+        const Duration pause = m_random.jitter(maxPause);
         m_fleet.run(pause);
         elapsed += pause;
         disturb();
--- a/src/daemon/tests/simserver.cpp
+++ b/src/daemon/tests/simserver.cpp
@@ -13,6 +13,11 @@
 // From when a server breaks off an event until it resets the connection.
 static constexpr Duration BreakDelay = std::chrono::milliseconds(2);
 
+static std::string durationText(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 static std::uint64_t unixTime(TimePoint now)
 {
     return static_cast<std::uint64_t>(now.time_since_epoch().count()) + 1;
@@ -109,6 +114,49 @@
                  [this](std::shared_ptr<HttpExchange> exchange) { take(std::move(exchange)); });
 }
 
+HttpResponseHead SimServer::head(int status, std::size_t arrival)
+{
+    HttpResponseHead head{status, {}};
+    if (options.leavingShare > 0 && m_random.chance(options.leavingShare)) {
+        head.headers.push_back({"leaving", "1"});
+        m_arrivals[arrival].wasToldLeaving = true;
+    }
+    return head;
+}
+
+std::size_t SimServer::arrivalsWhileHeldOff(Duration slack, const SimExcuse &isExcused) const
+{
+    std::size_t most = 0;
+    for (const SimArrival &turned : m_arrivals) {
+        if (!turned.heldOffUntil || turned.when + slack >= *turned.heldOffUntil)
+            continue;
+        const auto count =
+                std::count_if(m_arrivals.begin(), m_arrivals.end(), [&](const SimArrival &arrival) {
+                    return arrival.host == turned.host && arrival.start == turned.start
+                           && arrival.when > turned.when + slack
+                           && arrival.when < *turned.heldOffUntil
+                           && !(isExcused && isExcused(arrival.host, turned.when, arrival.when));
+                });
+        most = std::max(most, static_cast<std::size_t>(count));
+    }
+    return most;
+}
+
+std::size_t SimServer::arrivalsAfterLeaving(Duration slack, const SimExcuse &isExcused) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_arrivals.begin(), m_arrivals.end(), [&](const SimArrival &arrival) {
+                return std::any_of(
+                        m_arrivals.begin(), m_arrivals.end(), [&](const SimArrival &told) {
+                            return told.wasToldLeaving && told.host == arrival.host
+                                   && told.start == arrival.start
+                                   && arrival.when > told.when + slack
+                                   && !(isExcused
+                                        && isExcused(arrival.host, told.when, arrival.when));
+                        });
+            }));
+}
+
 void SimServer::take(std::shared_ptr<HttpExchange> exchange)
 {
     const auto target = findHeader(exchange->request().headers, "target");
@@ -122,11 +170,23 @@
         exchange->finish();
         return;
     }
+    const TimePoint now = m_net.timers().now();
+    m_arrivals.push_back({now, exchange->remoteAddress(), m_start});
+    const std::size_t arrival = m_arrivals.size() - 1;
     if (exchange->request().body.rfind(PoisonMark, 0) == 0)
-        m_poison[exchange->request().path].arrivals.push_back(
-                {m_net.timers().now(), exchange->remoteAddress()});
+        m_poison[exchange->request().path].arrivals.push_back(m_arrivals.back());
+    if (options.turnAwayShare > 0 && m_random.chance(options.turnAwayShare)) {
+        m_arrivals.back().heldOffUntil = now + options.holdOff;
+        HttpResponseHead refusal = head(503, arrival);
+        refusal.headers.push_back({"not-run", "1"});
+        refusal.headers.push_back({"retry-after", durationText(options.holdOff)});
+        exchange->start(std::move(refusal));
+        exchange->finish();
+        return;
+    }
     const auto work = std::make_shared<Work>();
     work->exchange = std::move(exchange);
+    work->arrival = arrival;
     // The exchange owns the hook, and the work owns the exchange.
     work->exchange->onClosed([this, weak = std::weak_ptr<Work>(work)] {
         if (const std::shared_ptr<Work> closed = weak.lock())
@@ -157,7 +217,7 @@
 {
     const HttpRequest &request = work->exchange->request();
     if (options.errorShare > 0 && m_random.chance(options.errorShare)) {
-        work->exchange->start({500, {}});
+        work->exchange->start(head(500, work->arrival));
         work->exchange->finish();
         end(work);
         return;
@@ -179,7 +239,7 @@
         return;
     }
     const bool isStream = options.events > 0;
-    work->exchange->start({200, {}});
+    work->exchange->start(head(200, work->arrival));
     if (isStream) {
         const auto resume = findHeader(request.headers, "last-event");
         work->events = resume ? static_cast<std::uint32_t>(std::stoul(std::string(*resume))) : 0;
--- a/src/daemon/tests/simserver.h
+++ b/src/daemon/tests/simserver.h
@@ -1,8 +1,10 @@
 #ifndef CURRANTWALK_DAEMON_TESTS_SIMSERVER_H
 #define CURRANTWALK_DAEMON_TESTS_SIMSERVER_H
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,16 +17,23 @@
 /// The body of a request that crashes its servers begins with this.
 constexpr const char *PoisonMark = "poison";
 
+/// A request that a server got.
+struct SimArrival
+{
+    TimePoint when{};
+    std::string host;                        ///< Of the node that sent it.
+    std::uint64_t start = 0;                 ///< Number of the server's start.
+    std::optional<TimePoint> heldOffUntil{}; ///< If it was turned away for a time.
+    bool wasToldLeaving = false;             ///< Whether the answer said that the server leaves.
+};
+
+/// Returns whether the rules do not bind a node in a time.
+using SimExcuse = std::function<bool(const std::string &host, TimePoint from, TimePoint until)>;
+
 /// What servers have seen of the poisonous requests of one path.
 struct SimPoisonLog
 {
-    struct Arrival
-    {
-        TimePoint when{};
-        std::string host; ///< Of the node that sent it.
-    };
-
-    std::vector<Arrival> arrivals;
+    std::vector<SimArrival> arrivals;
     std::vector<TimePoint> crashes; ///< Of servers that had begun such a request.
 };
 
@@ -56,6 +65,11 @@
         double errorShare = 0;    ///< Of the requests that get an error before they begin.
         bool keepsCopies = true;  ///< Whether it has the copies from which streams are to go on.
         double breakShare = 0;    ///< Of the events in the middle of which the connection is reset.
+        /// Share of its answers that say that it leaves, while its entry says that it is ready.
+        double leavingShare = 0;
+        /// Share of the requests that it turns away for holdOff.
+        double turnAwayShare = 0;
+        Duration holdOff{0};
         /// Events that a crashing stream gets to write.
         std::uint32_t eventsBeforeCrash = 0;
     };
@@ -71,6 +85,14 @@
 
     Options options;
     bool isUp() const { return m_isUp; }
+    const std::vector<SimArrival> &arrivals() const { return m_arrivals; }
+    /// Returns the most requests that one start of the server got from one node between \a slack
+    /// after it had turned a request of that node away and the end of the time it had asked for.
+    /// Excuses what \a isExcused says of a node since then.
+    std::size_t arrivalsWhileHeldOff(Duration slack, const SimExcuse &isExcused = nullptr) const;
+    /// Returns the number of requests that one start of the server got from a node later than
+    /// \a slack after that node had got an answer that says that it leaves.
+    std::size_t arrivalsAfterLeaving(Duration slack, const SimExcuse &isExcused = nullptr) const;
 
 private:
     struct Work
@@ -78,8 +100,11 @@
         std::shared_ptr<HttpExchange> exchange;
         bool hasBegun = false;
         std::uint32_t events = 0;
+        std::size_t arrival = 0; ///< Its place among the arrivals.
     };
 
+    HttpResponseHead head(int status, std::size_t arrival);
+
     void beat();
     void writeEntry(bool isLeaving);
     void take(std::shared_ptr<HttpExchange> exchange);
@@ -98,6 +123,7 @@
     std::uint64_t m_start = 0; ///< Number of its starts; earlier ones' timers do nothing.
     std::uint64_t m_bornAt = 0;
     std::vector<std::shared_ptr<Work>> m_work;
+    std::vector<SimArrival> m_arrivals;
     bool m_isUp = false;
     bool m_isLeaving = false;
 };
--- a/src/targets/servicetargets.cpp
+++ b/src/targets/servicetargets.cpp
@@ -44,6 +44,7 @@
     }
     ServiceTarget &target = known->second;
     target.entry = entry;
+    target.hasEntry = true;
     if (target.phase == TargetPhase::Leaving)
         return;
     if (entry.isLeaving) {
@@ -58,7 +59,10 @@
 void ServiceTargets::remove(const TargetId &id)
 {
     const auto known = m_targets.find(id);
-    if (known == m_targets.end() || known->second.phase == TargetPhase::Leaving)
+    if (known == m_targets.end())
+        return;
+    known->second.hasEntry = false;
+    if (known->second.phase == TargetPhase::Leaving)
         return;
     if (!isExpiredInOutage()) {
         leave(known->second);
@@ -143,7 +147,10 @@
         const bool isGraceOver = !m_isStoreLost && since >= m_options.lapseGrace;
         if (target.phase == TargetPhase::Lapsed && isGraceOver)
             leave(target);
-        if (target.phase == TargetPhase::Leaving && since >= m_options.leavingRetention)
+        // An entry that still says that the target is ready would bring it back.
+        const bool isContradicted = target.hasEntry && !target.entry.isLeaving;
+        if (target.phase == TargetPhase::Leaving && !isContradicted
+            && since >= m_options.leavingRetention)
             it = m_targets.erase(it);
         else
             ++it;
@@ -165,6 +172,14 @@
     return ready.empty() ? lapsed : ready;
 }
 
+std::size_t ServiceTargets::countLeaving() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_targets.begin(), m_targets.end(), [](const auto &each) {
+                return each.second.phase == TargetPhase::Leaving;
+            }));
+}
+
 const ServiceTarget *ServiceTargets::find(const TargetId &id) const
 {
     const auto it = m_targets.find(id);
--- a/src/targets/servicetargets.h
+++ b/src/targets/servicetargets.h
@@ -45,6 +45,7 @@
     TimePoint phaseSince{};
     TimePoint coldUntil{};
     bool isLeavingAnnounced = false; ///< Set if the target itself announced that it is leaving.
+    bool hasEntry = true;            ///< Whether the store still has its entry.
 };
 
 /// Identifies one start of a target that has announced that it is leaving.
@@ -69,7 +70,8 @@
         /// How long peers are notified of a leaving target. It stops within about two seconds, and
         /// a message may be lost.
         Duration leavingNoticePeriod = std::chrono::milliseconds(3000);
-        /// How long a leaving target is kept, as its last requests are still running there.
+        /// How long a leaving target is kept, as its last requests are still running there. One
+        /// whose entry says that it is ready is kept as long as the entry.
         Duration leavingRetention = std::chrono::seconds(30);
     };
 
@@ -96,7 +98,8 @@
     /// Called when the peer that reads the store for this node could not do so until
     /// \a sinceOutage ago.
     void onPeerOutage(Duration sinceOutage);
-    /// Called when the target has reported that it is leaving.
+    /// Called when the target has reported that it is leaving. What its entry says does not matter
+    /// from then on.
     void markLeaving(const TargetId &id);
     /// Called when another target answers at the target's endpoint.
     void markReplaced(const TargetId &id);
@@ -112,6 +115,7 @@
     std::vector<const ServiceTarget *> usable(const std::string &service) const;
     const ServiceTarget *find(const TargetId &id) const;
     std::size_t size() const { return m_targets.size(); }
+    std::size_t countLeaving() const;
 
 private:
     void leave(ServiceTarget &target);
--- a/src/targets/tests/servicetargetstest.cpp
+++ b/src/targets/tests/servicetargetstest.cpp
@@ -138,6 +138,21 @@
     LONGS_EQUAL(1, left.size());
 }
 
+// Otherwise its next heartbeat would make it a new target.
+TEST(ServiceTargets, targetThatSaysItLeavesStaysLeavingAsLongAsItsEntryIsReady)
+{
+    targets.update(TargetId("a"), entry());
+    targets.markLeaving(TargetId("a"));
+    timers.advance(31s);
+    targets.expire();
+    targets.update(TargetId("a"), entry());
+    LONGS_EQUAL(0, usable());
+    targets.remove(TargetId("a"));
+    timers.advance(31s);
+    targets.expire();
+    LONGS_EQUAL(0, targets.size());
+}
+
 TEST(ServiceTargets, leavingTargetsAreRemovedAfterRetention)
 {
     targets.update(TargetId("a"), entry(true));
