Soak: servers that say in their answers that they leave or want nothing for a time

Servers say so at random, single ones and all of a service, beside the other faults; requests that arrive at them are counted by node. Restarts, suspensions and cuts of the node since then are excused, the store's troubles are not.

--- a/src/daemon/tests/poisonsoak.cpp
+++ b/src/daemon/tests/poisonsoak.cpp
@@ -10,6 +10,9 @@
 static constexpr Duration Window = 3s;
 static constexpr std::size_t ToleratedCrashes = 3;
 static constexpr std::size_t ToleratedArrivals = 3;
+static constexpr Duration LeavingSlack = 2s;
+static constexpr Duration HoldOffSlack = 500ms;
+static constexpr std::size_t ToleratedHeldOff = 2;
 static constexpr Duration Span = 40s;
 // The longest time-out of a route, and some more.
 static constexpr Duration Rundown = 30s;
@@ -53,9 +56,9 @@
     return options;
 }
 
-void PoisonSoak::note(const std::string &host, Duration span)
+void PoisonSoak::note(const std::string &host, Duration span, bool isOfNodes)
 {
-    m_disruptions.push_back({host, m_fleet.timers.now(), m_fleet.timers.now() + span});
+    m_disruptions.push_back({host, m_fleet.timers.now(), m_fleet.timers.now() + span, isOfNodes});
 }
 
 void PoisonSoak::restart(std::size_t node, Duration downTime)
@@ -132,7 +135,7 @@
 void PoisonSoak::disturbServers(Duration span)
 {
     SimServer &server = *m_fleet.servers[m_random.uniformBelow(m_fleet.servers.size())];
-    switch (m_random.uniformBelow(6)) {
+    switch (m_random.uniformBelow(8)) {
     case 0:
         server.crash(m_random.chance(0.5) ? SimEnd::Reset : SimEnd::Silent);
         break;
@@ -152,6 +155,17 @@
         server.options.errorShare = 0.3;
         m_fleet.timers.scheduleAfter(span, [&server] { server.options.errorShare = 0; });
         break;
+    case 5:
+        server.options.leavingShare = 0.3 + 0.7 * m_random.uniform();
+        m_fleet.timers.scheduleAfter(span, [this, &server] {
+            server.crash(SimEnd::Reset);
+            // Its next start does not leave.
+            server.options.leavingShare = 0;
+        });
+        break;
+    case 6:
+        turnRequestsAway(server, span);
+        break;
     default:
         server.options.resetShare = 0.4;
         m_fleet.timers.scheduleAfter(span, [&server] { server.options.resetShare = 0; });
@@ -159,9 +173,24 @@
     }
 }
 
+void PoisonSoak::turnRequestsAway(const SimServer &server, Duration span)
+{
+    const bool isOfAll = m_random.chance(0.3);
+    const Duration holdOff = 600ms + m_random.jitter(3s);
+    for (const std::unique_ptr<SimServer> &each : m_fleet.servers) {
+        const bool isMeant = each.get() == &server
+                             || (isOfAll && each->options.service == server.options.service);
+        if (!isMeant)
+            continue;
+        each->options.holdOff = holdOff;
+        each->options.turnAwayShare = 0.5 + 0.5 * m_random.uniform();
+        m_fleet.timers.scheduleAfter(span, [&each] { each->options.turnAwayShare = 0; });
+    }
+}
+
 void PoisonSoak::disturbStore(Duration span)
 {
-    note("", span);
+    note("", span, false);
     SimStore &store = m_fleet.store;
     switch (m_random.uniformBelow(5)) {
     case 0:
@@ -209,6 +238,31 @@
     });
 }
 
+bool PoisonSoak::isDisturbed(const std::string &host, TimePoint from, TimePoint until) const
+{
+    return std::any_of(m_disruptions.begin(), m_disruptions.end(), [&](const Disruption &each) {
+        const bool isMeant = each.host.empty() || each.host == host;
+        return isMeant && each.isOfNodes && each.from <= until && from <= each.until;
+    });
+}
+
+std::string PoisonSoak::findServerViolations() const
+{
+    const SimExcuse isExcused = [this](const std::string &host, TimePoint from, TimePoint until) {
+        return isDisturbed(host, from, until);
+    };
+    std::string violations;
+    for (const std::unique_ptr<SimServer> &server : m_fleet.servers) {
+        const std::size_t heldOff = server->arrivalsWhileHeldOff(HoldOffSlack, isExcused);
+        if (heldOff > ToleratedHeldOff)
+            violations +=
+                    "a server that wanted nothing got " + std::to_string(heldOff) + " requests; ";
+        if (const std::size_t late = server->arrivalsAfterLeaving(LeavingSlack, isExcused))
+            violations += "a leaving server got " + std::to_string(late) + " requests; ";
+    }
+    return violations;
+}
+
 std::size_t PoisonSoak::lateArrivals(const SimPoisonLog &log) const
 {
     if (log.crashes.size() < ToleratedCrashes)
@@ -249,6 +303,7 @@
             report.violation += path + " reached servers " + std::to_string(lateArrivals(log))
                                 + " times after it should have been refused; ";
     }
+    report.violation += findServerViolations();
     if (m_fleet.poison.served > 0)
         report.violation += "a poisonous request was served; ";
     if (m_fleet.poison.open + m_fleet.innocents.open > 0)
--- a/src/daemon/tests/poisonsoak.h
+++ b/src/daemon/tests/poisonsoak.h
@@ -12,7 +12,7 @@
 namespace currantwalk {
 
 /// A deployment under random faults while requests that crash their servers come again and again,
-/// beside others.
+/// beside others, and servers say in their answers that they leave or want nothing for a time.
 class PoisonSoak
 {
 public:
@@ -38,6 +38,8 @@
         std::string host; ///< Empty: all nodes.
         TimePoint from{};
         TimePoint until{};
+        /// Whether it concerns the nodes or their links, rather than the store.
+        bool isOfNodes = true;
     };
 
     static EntryFleet::Options fleetOptions(std::uint64_t seed);
@@ -45,12 +47,15 @@
     void disturbNode(std::size_t node, Duration span);
     void disturbServers(Duration span);
     void disturbStore(Duration span);
+    void turnRequestsAway(const SimServer &server, Duration span);
     void sendLookalikes(Duration span);
     void restart(std::size_t node, Duration downTime);
-    void note(const std::string &host, Duration span);
+    void note(const std::string &host, Duration span, bool isOfNodes = true);
     void noteNode(std::size_t node, Duration span) { note(m_fleet.addressOf(node), span); }
     bool isInTouch(const std::string &host, TimePoint when) const;
+    bool isDisturbed(const std::string &host, TimePoint from, TimePoint until) const;
     std::size_t lateArrivals(const SimPoisonLog &log) const;
+    std::string findServerViolations() const;
 
     RandomSource m_random;
     EntryFleet m_fleet;
