--- a/src/daemon/tests/entryfleet.h
+++ b/src/daemon/tests/entryfleet.h
@@ -65,6 +65,8 @@
     /// Suspends a node: its timers and messages wait until it is resumed.
     void pauseNode(std::size_t index);
     void resumeNode(std::size_t index);
+    /// Returns whether the node has ended its orderly stop, so that its process exits.
+    bool hasStopped(std::size_t index) const { return m_nodes[index].loop->isStopped(); }
     bool isUp(std::size_t index) const { return m_nodes[index].node != nullptr; }
     EntryNode &node(std::size_t index) { return *m_nodes[index].node; }
     ZoneName zoneOf(std::size_t index) const;
--- /dev/null
+++ b/src/daemon/tests/plannedstoptest.cpp
@@ -0,0 +1,82 @@
+#include "daemon/tests/entryfleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantwalk;
+using namespace std::chrono_literals;
+
+// Nodes are told to stop while callers go on sending to them until their processes are gone.
+TEST_GROUP(PlannedStop)
+{
+    static constexpr std::size_t Nodes = 7;
+    // From the users' settings: the process is killed this long after the order to stop.
+    static constexpr Duration Grace = 8s;
+
+    std::unique_ptr<EntryFleet> fleet = std::make_unique<EntryFleet>(EntryFleet::Options());
+    EntryFleet::Tally tally;
+
+    void sendTo(std::size_t node)
+    {
+        static constexpr const char *Paths[] = {"/safe/x", "/once/x", "/stream/x"};
+        const std::string body = "body " + std::to_string(fleet->random.next64());
+        fleet->request(node, "POST", Paths[fleet->random.uniformBelow(3)], body, tally);
+    }
+
+    // Stops the node; sends to it every 10 ms, and to another one.
+    void stopUnderLoad(std::size_t node)
+    {
+        const TimePoint killedAt = fleet->timers.now() + Grace;
+        for (int i = 0; i < 50; ++i) {
+            sendTo(node);
+            fleet->run(10ms);
+        }
+        sendTo(node);
+        fleet->node(node).beginDrain();
+        while (!fleet->hasStopped(node) && fleet->timers.now() < killedAt) {
+            sendTo(node);
+            sendTo((node + 3) % Nodes);
+            fleet->run(10ms);
+        }
+        CHECK(fleet->hasStopped(node));
+        fleet->killNode(node);
+        fleet->run(500ms);
+        fleet->startNode(node);
+        fleet->run(2s);
+    }
+
+    void checkAllAnswered()
+    {
+        fleet->run(30s);
+        CHECK_EQUAL(0U, tally.open);
+        CHECK_EQUAL(0U, tally.failed);
+        CHECK_EQUAL(0U, tally.disordered);
+    }
+};
+
+TEST(PlannedStop, requestsAreAnsweredWhileNodesAreStoppedInTurn)
+{
+    for (std::size_t node = 0; node < Nodes; ++node)
+        stopUnderLoad(node);
+    checkAllAnswered();
+}
+
+TEST(PlannedStop, requestsAreAnsweredWhileNodesStopAndTheStoreIsAway)
+{
+    fleet->setStoreUp(false);
+    stopUnderLoad(0);
+    fleet->setStoreUp(true);
+    fleet->run(2s);
+    stopUnderLoad(1);
+    checkAllAnswered();
+}
+
+TEST(PlannedStop, requestsAreAnsweredWhileNodesStopAndTargetsLeave)
+{
+    for (const std::size_t server : {0, 5, 12})
+        fleet->servers[server]->leave();
+    stopUnderLoad(0);
+    for (const std::size_t server : {1, 6, 13})
+        fleet->servers[server]->options.leavingShare = 1;
+    stopUnderLoad(1);
+    checkAllAnswered();
+}
--- a/src/daemon/tests/simserver.cpp
+++ b/src/daemon/tests/simserver.cpp
@@ -272,6 +272,11 @@
         });
         return;
     }
+    if (options.trickles) {
+        work->exchange->write("i");
+        writeEventLater(work);
+        return;
+    }
     ++work->events;
     work->exchange->write("id: " + std::to_string(work->events) + "\ndata: x\n\n");
     if (work->events >= options.events) {
@@ -279,6 +284,11 @@
         end(work);
         return;
     }
+    writeEventLater(work);
+}
+
+void SimServer::writeEventLater(const std::shared_ptr<Work> &work)
+{
     m_net.timers().scheduleAfter(options.eventGap, [this, work, start = m_start] {
         if (start == m_start)
             writeEvent(work);
--- a/src/daemon/tests/simserver.h
+++ b/src/daemon/tests/simserver.h
@@ -65,6 +65,8 @@
         double errorShare = 0;    ///< Of the requests that get an error before they begin.
         bool keepsCopies = true;  ///< Whether it has the copies from which streams are to go on.
         double breakShare = 0;    ///< Of the events in the middle of which the connection is reset.
+        /// Whether its streams send a byte at each gap and never an event.
+        bool trickles = false;
         /// Share of its answers that say that it leaves, while its entry says that it is ready.
         double leavingShare = 0;
         /// Share of the requests that it turns away for holdOff.
@@ -111,6 +113,7 @@
     void beginNext();
     void work(const std::shared_ptr<Work> &work);
     void writeEvent(const std::shared_ptr<Work> &work);
+    void writeEventLater(const std::shared_ptr<Work> &work);
     void end(const std::shared_ptr<Work> &work);
     void stop(SimEnd end);
 
