--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -8,9 +8,6 @@
 
 namespace currantwalk {
 
-// A target on the same network opens a connection within a few milliseconds; a lost packet takes a
-// second to be sent again. Past this time another target is the better choice.
-static constexpr Duration ConnectTimeout = std::chrono::milliseconds(250);
 // An idempotent request waits this many times its goal for one target.
 static constexpr int PatienceFactor = 2;
 // The longest that a request without any time limit is kept.
@@ -18,15 +15,6 @@
 // Shorter connections between retries of the caller than this gain nothing.
 static constexpr Duration BusyRetryAfter = std::chrono::milliseconds(300);
 static constexpr Duration NoTargetRetryAfter = std::chrono::milliseconds(500);
-// A copy queues behind others on its links; a target that leaves is gone before this is over.
-static constexpr Duration CopyTimeout = std::chrono::milliseconds(2500);
-// All nodes look for destinations at the same moment, before they hear of one another's choices:
-// each destination's load is taken as up to this much higher, in requests, so that the choices
-// differ.
-static constexpr double MoveSpread = 3;
-// An answer that is expected to be shorter is over before a copy of it would help; its share of the
-// worth does not pay for the room.
-static constexpr std::uint32_t LeastBackedUpTokens = 200;
 // Bytes that wait for the caller's connection before the target is held back.
 static constexpr std::size_t MaxPendingBytes = std::size_t{64} * 1024;
 // Where nothing is known of a generation's length, this part of its limit is expected.
@@ -240,98 +228,6 @@
     return target->id;
 }
 
-std::optional<TargetId> RelaySession::chooseMoveTarget(const TargetId &source,
-                                                       const std::vector<TargetId> &excluded)
-{
-    const CatalogService *const service = m_admitted.catalog->findService(m_service);
-    const ServiceTarget *const from = m_services.targets.find(source);
-    if (!mayGoOn() || isPoisonous() || !from || !service || !service->engine
-        || !service->engine->supportsMoves)
-        return std::nullopt;
-    const ServiceTarget *const target =
-            m_services.choose(m_service, excluded, from->entry.zone, MoveSpread);
-    if (!target || target->id == source)
-        return std::nullopt;
-    // The source gets the order to copy.
-    if (!m_services.holdOffs.tryResume(source, from->entry.startedAt, m_services.timers.now()))
-        return std::nullopt;
-    return target->id;
-}
-
-void RelaySession::copy(std::uint64_t move, const TargetId &source, const TargetId &destination)
-{
-    const ServiceTarget *const from = m_services.targets.find(source);
-    const ServiceTarget *const to = m_services.targets.find(destination);
-    HttpCallOptions options;
-    options.endpoint = from->entry.endpoint;
-    options.isConnectionKept = false;
-    options.connectTimeout = ConnectTimeout;
-    const Endpoint handleIssuer = from->entry.endpoint;
-    reserve(move, destination);
-    const auto answer = [this, alive = m_alive, move, destination, handleIssuer, source,
-                         startedAt = from->entry.startedAt](FetchResult result) {
-        if (!*alive)
-            return;
-        dropReservation(move);
-        if (result.status.ok() && m_services.bindings.readIsLeaving(result.response))
-            m_services.targets.applyLeavingNotice({source, startedAt});
-        m_services.metrics.count("currantwalk_copies_total",
-                                 {{"result", result.status.ok() ? "answered" : "lost"}});
-        const absl::StatusOr<std::string> handle =
-                result.status.ok() ? m_services.bindings.readCopy(result.response)
-                                   : absl::StatusOr<std::string>(result.status);
-        if (!handle.ok()) {
-            logRequest(LogPart::Calls, LogLevel::Info, m_caller.id.text(),
-                       "Copy to " + destination.text()
-                               + " failed: " + std::string(handle.status().message()));
-            m_call->onCopyResult(move, handle.status());
-        } else {
-            m_call->onCopyResult(move, StreamCopy{destination, handleIssuer, *handle});
-        }
-        finishIfSettled();
-    };
-    m_services.fetcher.fetch(options,
-                             m_services.bindings.writeCopy(m_caller.id, to->entry.endpoint),
-                             CopyTimeout, answer);
-}
-
-// A copy takes its room before the stream goes on there; other nodes that look for a destination at
-// the same time are told.
-void RelaySession::reserve(std::uint64_t move, const TargetId &destination)
-{
-    m_reservations[move] = destination;
-    m_services.placer.onSent(destination, load());
-    m_services.loadsChanged();
-}
-
-void RelaySession::dropReservation(std::uint64_t move)
-{
-    const auto it = m_reservations.find(move);
-    if (it == m_reservations.end())
-        return;
-    m_services.placer.onEnded(it->second, load(), true);
-    m_reservations.erase(it);
-}
-
-// A copy that is not freed ends by itself after a time.
-void RelaySession::freeCopy(const TargetId &source, const StreamCopy &copy)
-{
-    const ServiceTarget *const holder = m_services.targets.find(source);
-    if (holder && isHeldOff(*holder))
-        return;
-    HttpCallOptions options;
-    options.endpoint = copy.handleIssuer;
-    options.isConnectionKept = false;
-    options.connectTimeout = ConnectTimeout;
-    m_services.fetcher.fetch(options, m_services.bindings.writeDropCopy(copy.handle), CopyTimeout,
-                             [source](const FetchResult &result) {
-                                 if (!result.status.ok())
-                                     logLine(LogPart::Targets, LogLevel::Info,
-                                             "A copy named by " + source.text()
-                                                     + " was not freed.");
-                             });
-}
-
 void RelaySession::targetLeaving(const TargetId &target)
 {
     if (m_call->target() != target)
@@ -340,31 +236,6 @@
     finishIfSettled();
 }
 
-// The node's own zone comes first: a copy there can be reached when the zone is cut off.
-std::optional<TargetId> RelaySession::chooseBackupTarget(const TargetId &target) const
-{
-    const CatalogService *const service = m_admitted.catalog->findService(m_service);
-    const bool isWorthIt = service && service->engine && service->engine->supportsCopies
-                           && load().expectedTokens >= LeastBackedUpTokens;
-    if (!isWorthIt)
-        return std::nullopt;
-    const ServiceTarget *const holder =
-            m_services.chooseBackup(m_service, target, load(), service->engine->memoryTokens);
-    if (!holder)
-        return std::nullopt;
-    return holder->id;
-}
-
-std::optional<StreamCopy> RelaySession::findBackup(const TargetId &id) const
-{
-    const ServiceTarget *const holder = m_services.targets.find(id);
-    if (!holder || holder->phase == TargetPhase::Leaving || !mayGoOn() || isPoisonous())
-        return std::nullopt;
-    if (!m_services.holdOffs.tryResume(id, holder->entry.startedAt, m_services.timers.now()))
-        return std::nullopt;
-    return StreamCopy{id, holder->entry.endpoint, m_caller.id.text(), true};
-}
-
 void RelaySession::send(const RelaySend &order)
 {
     const TargetId &id = order.target;
@@ -572,6 +443,18 @@
                && m_longestGap > route.eventGapObjective);
 }
 
+// What a target that is held off has asked for does not matter while others take work.
+Duration RelaySession::retryAfter(const RelayFailure &failure) const
+{
+    const Duration untilReturn = m_services.timeUntilReturn(m_service);
+    if (untilReturn > Duration::zero())
+        return untilReturn;
+    const ServiceTarget *const last = m_services.targets.find(m_call->target());
+    if (failure.retryAfter > Duration::zero() && !(last && isHeldOff(*last)))
+        return failure.retryAfter;
+    return errorCode(failure.status) == ErrorCode::NoTarget ? NoTargetRetryAfter : BusyRetryAfter;
+}
+
 void RelaySession::fail(const RelayFailure &failure)
 {
     EntryRefusal refusal;
@@ -579,10 +462,7 @@
     refusal.reason = errorName(code);
     if (failure.outcome == Outcome::NotRun) {
         refusal.status = 503;
-        const Duration fallback = code == ErrorCode::NoTarget ? NoTargetRetryAfter : BusyRetryAfter;
-        const Duration untilReturn = m_services.timeUntilReturn(m_service);
-        // What one target has asked for does not matter while others take work.
-        refusal.retryAfter = untilReturn > Duration::zero() ? untilReturn : fallback;
+        refusal.retryAfter = retryAfter(failure);
     } else {
         refusal.status = code == ErrorCode::DeadlineExceeded ? 504 : 502;
     }
--- a/src/daemon/relaysession.h
+++ b/src/daemon/relaysession.h
@@ -73,6 +73,10 @@
     void shutDown();
 
 private:
+    /// A target on the same network opens a connection within a few milliseconds; a lost packet
+    /// takes a second to be sent again. Past this time another target is the better choice.
+    static constexpr Duration ConnectTimeout = std::chrono::milliseconds(250);
+
     struct TargetExchange
     {
         std::unique_ptr<HttpCall> call;
@@ -113,6 +117,7 @@
     void release(const TargetExchange &exchange);
     void notePart(std::uint64_t exchange);
     void forwardHead(std::uint64_t exchange);
+    Duration retryAfter(const RelayFailure &failure) const;
     void fail(const RelayFailure &failure);
     void forwardBody(std::string_view bytes);
     void setPaused(bool isPaused);
