check.sh runs each test group as a process of its own

The sanitized fleet tests are one program of some 20 minutes of processor time and took as long as the whole script; its groups now run beside one another. What is run, counted and compared with KNOWN-RED.txt is the same: a group that fails, ends without a summary or leaks fails the script as its program did.

--- a/utils/check.sh
+++ b/utils/check.sh
@@ -39,50 +39,64 @@
 
 test_programs() { find "build/$1/src" "build/$1/platform" -maxdepth 2 -name '*Tests' -type f -perm -u+x | sort; }
 
-# run_program PROGRAM DIRECTORY: runs one test program; its output and exit code go to files.
-run_program() {
-    "$1" >"$2/$(basename "$1").log" 2>&1
-    echo $? >"$2/$(basename "$1").code"
+# list_groups PRESET: prints each test program with each of its test groups.
+list_groups() {
+    local program
+    while IFS= read -r program; do
+        "$program" -lg | tr ' ' '\n' | sed '/^$/d' | sort -u | sed "s|^|$program |"
+    done < <(test_programs "$1")
+}
+
+# run_group PROGRAM GROUP DIRECTORY: runs one group of tests; its output and exit code go to files.
+run_group() {
+    local name
+    name="$3/$(basename "$1").$2"
+    "$1" -sg "$2" >"$name.log" 2>&1
+    echo $? >"$name.code"
 }
-export -f run_program
+export -f run_group
 
-# start_tests PRESET: runs the test programs, several at once, beside the steps that follow. Most of
-# their time is spent waiting, or in one long program.
+# start_tests PRESET: runs the groups of the test programs, several at once, beside the steps that
+# follow. Each group is a process of its own, as a few long ones take most of the time.
 start_tests() {
     local results=$out/$1
     mkdir -p "$results"
-    test_programs "$1" \
-        | xargs -P "$jobs" -I '{}' bash -c 'run_program "$1" "$2"' _ '{}' "$results" &
+    list_groups "$1" | xargs -P "$jobs" -n 2 bash -c 'run_group "$2" "$3" "$1"' _ "$results" &
     tests=$!
 }
 
 # report_tests PRESET: waits for the test programs and counts their single tests.
 report_tests() {
-    local preset=$1 program name log code total red count
+    local preset=$1 program group name log code total red count passed_tests
     wait "$tests"
     while IFS= read -r program; do
-        name="$preset/$(basename "$program")"
-        log="$out/$preset/$(basename "$program").log"
-        code=$(cat "$out/$preset/$(basename "$program").code")
-        total=$(grep -oE '(OK|Errors) \([^)]*' "$log" | grep -oE '[0-9]+ ran' | grep -oE '[0-9]+' | tail -1)
-        if [ -z "$total" ]; then
-            tail -n 60 "$log"
-            bad "$name ended without a summary (exit code $code)"
-            continue
-        fi
-        red=0
-        count=0
-        while IFS= read -r test; do
-            count=$((count + 1))
-            if is_known_red "$test"; then
-                red=$((red + 1))
-                echo "known red: $test in $name"
+        passed_tests=0
+        while read -r _ group; do
+            name="$preset/$(basename "$program") $group"
+            log="$out/$preset/$(basename "$program").$group.log"
+            code=$(cat "$out/$preset/$(basename "$program").$group.code")
+            total=$(grep -oE '(OK|Errors) \([^)]*' "$log" | grep -oE '[0-9]+ ran' | grep -oE '[0-9]+' | tail -1)
+            if [ -z "$total" ]; then
+                tail -n 60 "$log"
+                bad "$name ended without a summary (exit code $code)"
+                continue
             fi
-        done < <(grep -oE 'Failure in (IGNORE_)?TEST\([^)]*\)' "$log" | sed 's/^Failure in //' | sort -u)
-        [ "$count" -gt "$red" ] && { grep -A 12 'Failure in' "$log"; bad "$name" $((count - red)); }
-        # A program may fail after its tests, when the leak check runs.
-        [ "$code" -ne 0 ] && [ "$count" -eq 0 ] && { tail -n 60 "$log"; bad "$name (exit code $code)"; }
-        [ "$total" -gt "$count" ] && ok "$name: $((total - count)) tests" $((total - count))
+            red=0
+            count=0
+            while IFS= read -r test; do
+                count=$((count + 1))
+                if is_known_red "$test"; then
+                    red=$((red + 1))
+                    echo "known red: $test in $name"
+                fi
+            done < <(grep -oE 'Failure in (IGNORE_)?TEST\([^)]*\)' "$log" | sed 's/^Failure in //' | sort -u)
+            [ "$count" -gt "$red" ] && { grep -A 12 'Failure in' "$log"; bad "$name" $((count - red)); }
+            # A program may fail after its tests, when the leak check runs.
+            [ "$code" -ne 0 ] && [ "$count" -eq 0 ] && { tail -n 60 "$log"; bad "$name (exit code $code)"; }
+            passed_tests=$((passed_tests + total - count))
+        done < <(list_groups "$preset" | grep -F "$program ")
+        name="$preset/$(basename "$program")"
+        [ "$passed_tests" -gt 0 ] && ok "$name: $passed_tests tests" "$passed_tests"
     done < <(test_programs "$preset")
 }
 
