Test: streams move from a target that says in its answer that it leaves

The stand-in servers can give copies of their streams. 84 streams over 12 engines, one of which says that it leaves with the head of each answer and falls silent a second later: all are served whole.

--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -270,10 +270,12 @@
                                  {"retry-after", std::to_string(retryAfter.count())}}};
     };
     bindings.writeCopy = [](const RequestId &, const Endpoint &) {
-        return HttpRequest{"POST", "/copy", {}, {}};
+        return HttpRequest{"POST", CopyPath, {}, {}};
     };
-    bindings.readCopy = [](const HttpResponse &) -> absl::StatusOr<std::string> {
-        return makeError(ErrorCode::TargetRefused, "no copies are made");
+    bindings.readCopy = [](const HttpResponse &response) -> absl::StatusOr<std::string> {
+        if (response.body != CopyHandle)
+            return makeError(ErrorCode::TargetRefused, "no copies are made");
+        return response.body;
     };
     bindings.writeDropCopy = [](const std::string &) { return HttpRequest{"DELETE", "/", {}, {}}; };
     bindings.writeReportCall = [] { return HttpRequest{"GET", "/report", {}, {}}; };
--- a/src/daemon/tests/simserver.cpp
+++ b/src/daemon/tests/simserver.cpp
@@ -170,6 +170,12 @@
         exchange->finish();
         return;
     }
+    if (options.givesCopies && exchange->request().path == CopyPath) {
+        exchange->start({200, {}});
+        exchange->write(CopyHandle);
+        exchange->finish();
+        return;
+    }
     const TimePoint now = m_net.timers().now();
     m_arrivals.push_back({now, exchange->remoteAddress(), m_start});
     const std::size_t arrival = m_arrivals.size() - 1;
--- a/src/daemon/tests/simserver.h
+++ b/src/daemon/tests/simserver.h
@@ -17,6 +17,10 @@
 /// The body of a request that crashes its servers begins with this.
 constexpr const char *PoisonMark = "poison";
 
+/// Of the call for a copy of a stream, and its answer.
+constexpr const char *CopyPath = "/copy";
+constexpr const char *CopyHandle = "handle";
+
 /// A request that a server got.
 struct SimArrival
 {
@@ -64,6 +68,7 @@
         double resetShare = 0;    ///< Of the requests that lose their connection.
         double errorShare = 0;    ///< Of the requests that get an error before they begin.
         bool keepsCopies = true;  ///< Whether it has the copies from which streams are to go on.
+        bool givesCopies = false; ///< Whether it copies streams to other servers when asked.
         double breakShare = 0;    ///< Of the events in the middle of which the connection is reset.
         /// Whether its streams send a byte at each gap and never an event.
         bool trickles = false;
--- a/src/daemon/tests/targetanswerstest.cpp
+++ b/src/daemon/tests/targetanswerstest.cpp
@@ -109,6 +109,26 @@
     CHECK_EQUAL(0U, arrivalsSince(plain(0), from));
 }
 
+TEST(TargetAnswers, streamsMoveFromATargetThatSaysItLeaves)
+{
+    build();
+    SimServer &leaving = *fleet->servers[0];
+    leaving.options.leavingShare = 1;
+    for (const auto &server : fleet->servers) {
+        server->options.givesCopies = true;
+        server->options.events = server->options.events > 0 ? 60 : 0;
+    }
+    for (int i = 0; i < 84; ++i)
+        fleet->request(i % 7, "POST", "/stream/x", "body " + std::to_string(i), fleet->innocents);
+    fleet->run(1s);
+    CHECK(!leaving.arrivals().empty());
+    // What is still there goes on only after a time-out.
+    leaving.crash(SimEnd::Silent);
+    fleet->run(5s);
+    CHECK_EQUAL(84U, fleet->innocents.served);
+    CHECK_EQUAL(0U, fleet->innocents.disordered);
+}
+
 TEST(TargetAnswers, newStartOfATargetThatLeftIsUsed)
 {
     for (const bool keepsId : {false, true}) {
