Test: a catalogue's proof is old by its poll's time, not by when the node started

EntryNode.keysAreNotUsedWithoutAFreshProof failed once, sanitized, on a machine with a load of 29: CHECK(!node->isReady()) after the first answer to the waiting poll.

Cause, in the test: it took the poll to be older than the 300 ms for which a proof holds as soon as the first read's proof was. The poll is sent when that read is answered; where that takes 200 ms, the poll is 100 ms old and its answer proves the catalogue rightly.

The test now waits until the poll itself is older than that, with the same checks.

--- a/src/daemon/tests/entrynodetest.cpp
+++ b/src/daemon/tests/entrynodetest.cpp
@@ -22,6 +22,7 @@
         std::vector<KeyedRecord> records;
         std::vector<std::pair<LogOffset, KeyedTopicHooks::TailCallback>> waiting;
         bool isDown = false;
+        TimePoint polledAt{}; ///< When the last read of the tail was sent.
     };
 
     LoopBench targetBench; ///< Its listener is the target; the exchanges are answered by the test.
@@ -43,7 +44,9 @@
                     done(KeyedPage{topic.records, false, topic.records.size()});
             });
         };
-        hooks.readTail = [&topic](LogOffset from, Duration, KeyedTopicHooks::TailCallback done) {
+        hooks.readTail = [this, &topic](LogOffset from, Duration,
+                                        KeyedTopicHooks::TailCallback done) {
+            topic.polledAt = targetBench.loop->timers().now();
             topic.waiting.emplace_back(from, std::move(done));
         };
         return hooks;
@@ -258,6 +261,9 @@
     send("/a/x");
     LONGS_EQUAL(503, answer());
     CHECK(targetBench.exchanges.empty());
+    CHECK(targetBench.runUntil([this] {
+        return targetBench.loop->timers().now() - catalogTopic.polledAt > settings.maxKeyAge;
+    }));
     // The first poll was sent long ago; only the one after it proves what is newest now.
     answerTails(catalogTopic);
     CHECK(!node->isReady());
