Log the prompt parts of failed sends

A failed send was logged with the fingerprint of the whole request, which no other request has, so the log could not show what lost requests have in common.

--- a/src/daemon/entrytypes.h
+++ b/src/daemon/entrytypes.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "calls/relaycall.h"
 #include "config/servicecatalog.h"
@@ -46,6 +47,8 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t maxTokens = 0;
     std::optional<std::uint32_t> expectedTokens; ///< The caller's estimate of the answer's length.
+    /// Ids of the parts of the prompt that other requests may have too, in the prompt's order.
+    std::vector<std::uint64_t> sharedPromptParts;
     /// Number of the event after which the caller asks a stream to go on.
     std::optional<std::uint64_t> lastEvent;
 };
--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -499,7 +499,8 @@
     logRequest(LogPart::Calls, LogLevel::Info, m_caller.id.text(),
                "Send to " + target.text() + " failed: " + std::string(status.message())
                        + (wasSent ? "; it may have run." : "; nothing was written.")
-                       + " fingerprint=" + fingerprintText(m_fingerprint));
+                       + " fingerprint=" + fingerprintText(m_fingerprint)
+                       + " parts=" + promptPartsText(m_caller.sharedPromptParts));
 }
 
 void RelaySession::countOutcome(std::string_view outcome) const
--- a/src/daemon/requestfingerprint.cpp
+++ b/src/daemon/requestfingerprint.cpp
@@ -39,6 +39,17 @@
     return fingerprint;
 }
 
+std::string promptPartsText(const std::vector<std::uint64_t> &parts)
+{
+    std::string text;
+    for (const std::uint64_t part : parts) {
+        std::array<char, TextDigits + 1> digits{};
+        std::snprintf(digits.data(), digits.size(), "%llx", static_cast<unsigned long long>(part));
+        text += (text.empty() ? "" : ",") + std::string(digits.data());
+    }
+    return text;
+}
+
 std::string describeRequest(const HttpRequest &request, std::string_view organisation)
 {
     std::string text = request.method + ' ' + request.path;
--- a/src/daemon/requestfingerprint.h
+++ b/src/daemon/requestfingerprint.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "net/http.h"
 
@@ -17,6 +18,8 @@
 std::string fingerprintText(std::uint64_t fingerprint);
 /// Returns nothing if \a text is not what fingerprintText() writes.
 std::optional<std::uint64_t> parseFingerprint(std::string_view text);
+/// Returns the ids of parts of a prompt for logs, in hexadecimal; empty for none.
+std::string promptPartsText(const std::vector<std::uint64_t> &parts);
 /// Describes a request to operators by its method, path and organisation.
 std::string describeRequest(const HttpRequest &request, std::string_view organisation);
 
