--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -57,8 +57,8 @@
             server.slots = 6;
             server.work = options.plainWork;
         }
-        servers.push_back(std::make_unique<SimServer>(net, store, poisonLogs, random, server,
-                                                      "t" + std::to_string(i)));
+        servers.push_back(std::make_unique<SimServer>(net, store, poisonLogs, poisonParts, random,
+                                                      server, "t" + std::to_string(i)));
         servers.back()->start();
     }
     m_nodes.resize(options.nodes);
@@ -229,12 +229,20 @@
         caller.promptTokens = 1000;
         caller.maxTokens = 1000;
     }
+    std::string_view parts = findHeader(request.headers, PartsHeader).value_or("");
+    for (std::size_t comma = parts.find(','); comma != std::string_view::npos;
+         comma = parts.find(',')) {
+        caller.sharedPromptParts.push_back(stableHash(std::string(parts.substr(0, comma))));
+        parts.remove_prefix(comma + 1);
+    }
     return caller;
 }
 
 static HttpRequest writeSend(const HttpRequest &request, const TargetSend &send)
 {
     HttpRequest sent{request.method, request.path, {{"target", send.target.text()}}, request.body};
+    if (const auto parts = findHeader(request.headers, PartsHeader))
+        sent.headers.push_back({PartsHeader, std::string(*parts)});
     if (send.resume)
         sent.headers.push_back({"last-event", std::to_string(send.resume->lastEvent)});
     if (send.resume && send.resume->copy)
@@ -314,8 +322,8 @@
     return true;
 }
 
-void EntryFleet::request(std::size_t index, const std::string &method, const std::string &path,
-                         const std::string &body, Tally &tally)
+void EntryFleet::request(std::size_t index, HttpRequest request, Tally &tally,
+                         std::function<void(bool hasBegun)> onEnd)
 {
     const std::uint64_t number = ++m_lastCaller;
     ++tally.open;
@@ -333,7 +341,9 @@
         caller.firstPartAt = caller.firstPartAt.value_or(timers.now());
         caller.body += part;
     };
-    hooks.onEnd = [this, number, &tally](const absl::Status &status) {
+    hooks.onEnd = [this, number, &tally, onEnd = std::move(onEnd)](const absl::Status &status) {
+        if (onEnd)
+            onEnd(m_callers[number].firstPartAt.has_value());
         tally.disordered += areEventsInOrder(m_callers[number].body) ? 0 : 1;
         const int code = m_callers[number].status;
         --tally.open;
@@ -355,8 +365,8 @@
         timers.scheduleAfter(Duration::zero(), [this, number] { m_callers.erase(number); });
     };
     m_callers[number].sentAt = timers.now();
-    HttpRequest sent{method, path, {{"id", "r" + std::to_string(number)}}, body};
-    m_callers[number].call = net.send(CallersHost, options, std::move(sent), std::move(hooks));
+    request.headers.push_back({"id", "r" + std::to_string(number)});
+    m_callers[number].call = net.send(CallersHost, options, std::move(request), std::move(hooks));
 }
 
 std::size_t EntryFleet::randomReadyNode()
--- a/src/daemon/tests/entryfleet.h
+++ b/src/daemon/tests/entryfleet.h
@@ -1,6 +1,7 @@
 #ifndef CURRANTWALK_DAEMON_TESTS_ENTRYFLEET_H
 #define CURRANTWALK_DAEMON_TESTS_ENTRYFLEET_H
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -90,7 +91,14 @@
 
     /// Sends one request through the node \a index.
     void request(std::size_t index, const std::string &method, const std::string &path,
-                 const std::string &body, Tally &tally);
+                 const std::string &body, Tally &tally)
+    {
+        request(index, {method, path, {}, body}, tally, nullptr);
+    }
+    /// Sends a request with headers of its own. Calls \a onEnd, if it is set, with whether a part
+    /// of an answer came.
+    void request(std::size_t index, HttpRequest request, Tally &tally,
+                 std::function<void(bool hasBegun)> onEnd);
     /// Sends a poisonous request through \a copies ready nodes at once, every \a gap for \a span.
     void repeatPoison(const std::string &path, Duration gap, Duration span, std::size_t copies = 1);
     /// Sends requests with bodies of their own through all nodes.
@@ -110,6 +118,7 @@
     SimNet net;
     SimStore store;
     SimPoisonLogs poisonLogs;
+    SimPoisonParts poisonParts;
     std::vector<std::unique_ptr<SimServer>> servers;
     Tally poison;
     Tally innocents;
--- a/src/daemon/tests/simserver.cpp
+++ b/src/daemon/tests/simserver.cpp
@@ -24,11 +24,13 @@
 }
 
 SimServer::SimServer(SimNet &net, SimStore &store, SimPoisonLogs &poison,
-                     RandomSource &randomSource, Options serverOptions, std::string name)
+                     const SimPoisonParts &parts, RandomSource &randomSource, Options serverOptions,
+                     std::string name)
     : options(std::move(serverOptions)),
       m_net(net),
       m_store(store),
       m_poison(poison),
+      m_poisonParts(parts),
       m_random(randomSource),
       m_name(std::move(name))
 {
@@ -157,6 +159,28 @@
             }));
 }
 
+// Returns the log of the crash that the request is going to cause, if any.
+std::optional<std::string> SimServer::notePoison(const HttpRequest &request)
+{
+    std::optional<std::string> poison;
+    if (request.body.rfind(PoisonMark, 0) == 0)
+        poison = request.path;
+    std::string_view list = findHeader(request.headers, PartsHeader).value_or("");
+    for (std::size_t comma = list.find(','); comma != std::string_view::npos;
+         comma = list.find(',')) {
+        const auto part = m_poisonParts.find(std::string(list.substr(0, comma)));
+        list.remove_prefix(comma + 1);
+        if (part == m_poisonParts.end())
+            continue;
+        m_poison[part->first].arrivals.push_back(m_arrivals.back());
+        if (m_random.chance(part->second))
+            poison = part->first;
+    }
+    if (poison == request.path)
+        m_poison[request.path].arrivals.push_back(m_arrivals.back());
+    return poison;
+}
+
 void SimServer::take(std::shared_ptr<HttpExchange> exchange)
 {
     const auto target = findHeader(exchange->request().headers, "target");
@@ -179,8 +203,7 @@
     const TimePoint now = m_net.timers().now();
     m_arrivals.push_back({now, exchange->remoteAddress(), m_start});
     const std::size_t arrival = m_arrivals.size() - 1;
-    if (exchange->request().body.rfind(PoisonMark, 0) == 0)
-        m_poison[exchange->request().path].arrivals.push_back(m_arrivals.back());
+    const std::optional<std::string> poison = notePoison(exchange->request());
     if (options.turnAwayShare > 0 && m_random.chance(options.turnAwayShare)) {
         m_arrivals.back().heldOffUntil = now + options.holdOff;
         HttpResponseHead refusal = head(503, arrival);
@@ -193,6 +216,7 @@
     const auto work = std::make_shared<Work>();
     work->exchange = std::move(exchange);
     work->arrival = arrival;
+    work->poison = poison;
     // The exchange owns the hook, and the work owns the exchange.
     work->exchange->onClosed([this, weak = std::weak_ptr<Work>(work)] {
         if (const std::shared_ptr<Work> closed = weak.lock())
@@ -228,13 +252,12 @@
         end(work);
         return;
     }
-    const bool isPoison = request.body.rfind(PoisonMark, 0) == 0;
-    if (isPoison && options.eventsBeforeCrash == 0) {
+    if (work->poison && options.eventsBeforeCrash == 0) {
         m_net.timers().scheduleAfter(options.crashDelay,
-                                     [this, path = request.path, start = m_start] {
+                                     [this, poison = *work->poison, start = m_start] {
                                          if (!m_isUp || start != m_start)
                                              return;
-                                         m_poison[path].crashes.push_back(m_net.timers().now());
+                                         m_poison[poison].crashes.push_back(m_net.timers().now());
                                          crash(options.crash);
                                      });
         return;
@@ -261,10 +284,8 @@
 {
     if (!m_isUp || work->exchange->isClosed())
         return;
-    const HttpRequest &request = work->exchange->request();
-    const bool isPoison = request.body.rfind(PoisonMark, 0) == 0;
-    if (isPoison && work->events >= options.eventsBeforeCrash) {
-        m_poison[request.path].crashes.push_back(m_net.timers().now());
+    if (work->poison && work->events >= options.eventsBeforeCrash) {
+        m_poison[*work->poison].crashes.push_back(m_net.timers().now());
         crash(options.crash);
         return;
     }
--- a/src/daemon/tests/simserver.h
+++ b/src/daemon/tests/simserver.h
@@ -17,6 +17,9 @@
 /// The body of a request that crashes its servers begins with this.
 constexpr const char *PoisonMark = "poison";
 
+/// Header that lists the parts of a request's prompt, separated by commas; the last is its own.
+constexpr const char *PartsHeader = "parts";
+
 /// Of the call for a copy of a stream, and its answer.
 constexpr const char *CopyPath = "/copy";
 constexpr const char *CopyHandle = "handle";
@@ -41,8 +44,12 @@
     std::vector<TimePoint> crashes; ///< Of servers that had begun such a request.
 };
 
+/// By path, or by the part of the prompts that the requests share.
 using SimPoisonLogs = std::map<std::string, SimPoisonLog>;
 
+/// Shares of the requests with each part of a prompt that crash their servers.
+using SimPoisonParts = std::map<std::string, double>;
+
 /// A server of a service, as the platform's pages describe it: each start is a new incarnation, a
 /// request may crash it, and its entry in the store is removed after three missed beats.
 class SimServer
@@ -81,8 +88,8 @@
         std::uint32_t eventsBeforeCrash = 0;
     };
 
-    SimServer(SimNet &net, SimStore &store, SimPoisonLogs &poison, RandomSource &random,
-              Options options, std::string name);
+    SimServer(SimNet &net, SimStore &store, SimPoisonLogs &poison, const SimPoisonParts &parts,
+              RandomSource &random, Options options, std::string name);
 
     void start();
     void crash(SimEnd end);
@@ -108,9 +115,12 @@
         bool hasBegun = false;
         std::uint32_t events = 0;
         std::size_t arrival = 0; ///< Its place among the arrivals.
+        /// In the log of poisonous requests, if it crashes the server.
+        std::optional<std::string> poison;
     };
 
     HttpResponseHead head(int status, std::size_t arrival);
+    std::optional<std::string> notePoison(const HttpRequest &request);
 
     void beat();
     void writeEntry(bool isLeaving);
@@ -125,6 +135,7 @@
     SimNet &m_net;
     SimStore &m_store;
     SimPoisonLogs &m_poison;
+    const SimPoisonParts &m_poisonParts;
     RandomSource &m_random;
     const std::string m_name;
     std::string m_id;
