PoisonTracker in a slice of its own: blame

What is blamed for the crash of a target becomes a subject of its own beside the calls: src/calls/poisontracker.{h,cpp} and its test move to src/blame.

--- a/src/calls/poisontracker.cpp
+++ b/src/blame/poisontracker.cpp
@@ -1,4 +1,4 @@
-#include "calls/poisontracker.h"
+#include "blame/poisontracker.h"
 
 #include <algorithm>
 #include <array>
--- a/src/calls/tests/poisontest.cpp
+++ b/src/blame/tests/poisontest.cpp
@@ -2,7 +2,7 @@
 #include <vector>
 
 #include "base/virtualtimerservice.h"
-#include "calls/poisontracker.h"
+#include "blame/poisontracker.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/src/calls/tests/simdaemon.h
+++ b/src/calls/tests/simdaemon.h
@@ -9,11 +9,11 @@
 #include <string>
 #include <vector>
 
+#include "blame/poisontracker.h"
 #include "calls/cancellations.h"
 #include "calls/claims.h"
 #include "calls/generationcall.h"
 #include "calls/plaincall.h"
-#include "calls/poisontracker.h"
 #include "calls/resumetoken.h"
 #include "calls/retrybudget.h"
 #include "calls/tests/simtargets.h"
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -7,9 +7,9 @@
 #include <string>
 
 #include "base/randomsource.h"
+#include "blame/poisontracker.h"
 #include "calls/cancellations.h"
 #include "calls/claims.h"
-#include "calls/poisontracker.h"
 #include "config/configstore.h"
 #include "config/publisher.h"
 #include "daemon/callersapi.h"
--- a/src/daemon/poisoncomparison.h
+++ b/src/daemon/poisoncomparison.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "base/randomsource.h"
-#include "calls/poisontracker.h"
+#include "blame/poisontracker.h"
 #include "daemon/peerlink.h"
 
 namespace currantwalk {
--- a/src/daemon/poisonexchange.h
+++ b/src/daemon/poisonexchange.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "base/randomsource.h"
-#include "calls/poisontracker.h"
+#include "blame/poisontracker.h"
 #include "daemon/peerlink.h"
 #include "daemon/poisoncomparison.h"
 #include "log/keyedtopicfollower.h"
--- a/src/daemon/poisonmessages.h
+++ b/src/daemon/poisonmessages.h
@@ -10,7 +10,7 @@
 #include <json/value.h>
 
 #include "base/error.h"
-#include "calls/poisontracker.h"
+#include "blame/poisontracker.h"
 
 namespace currantwalk {
 
--- a/src/daemon/relaysession.h
+++ b/src/daemon/relaysession.h
@@ -4,7 +4,7 @@
 #include <map>
 #include <memory>
 
-#include "calls/poisontracker.h"
+#include "blame/poisontracker.h"
 #include "config/catalogholder.h"
 #include "daemon/entrytypes.h"
 #include "net/fetcher.h"
--- a/src/daemon/requestservices.h
+++ b/src/daemon/requestservices.h
@@ -7,9 +7,9 @@
 
 #include "base/randomsource.h"
 #include "base/timerservice.h"
+#include "blame/poisontracker.h"
 #include "calls/claims.h"
 #include "calls/generationcall.h"
-#include "calls/poisontracker.h"
 #include "calls/retrybudget.h"
 #include "daemon/decisionlog.h"
 #include "daemon/targetlink.h"
