Requests are refused by a part of their prompts that crashes targets

Cause: what was blamed was narrower than what crashes. A request was known by method, path, organisation and body alone, so each request with such a part was a new one, and none was seen at two deaths.

Change: reports of deaths name the features (now: the shared prompt parts) of requests that the target had not begun to answer. CrashEvidence looks for the fewest features that explain the crashes: fewest answers begun for each crash first, the narrower one on a tie, whole requests included; a crash that one feature explains blames no other. Three events blame a feature unless over four answers were begun for each; crashes within 300 ms are one event, repetitions of a request one witness. The verdict is recorded as deaths of the feature in PoisonTracker, so news, comparison, the store's record, withdrawal and the operator's clearing work as for whole requests. A refused feature is asked for at arrival, placing, before the request is written, at moves and copies. Deaths that a feature explains no longer count against requests without it. It expires 5 minutes after the last death; the evidence is kept for 10, so one more crash refuses it again.

--- /dev/null
+++ b/src/blame/crashevidence.cpp
@@ -0,0 +1,211 @@
+#include "blame/crashevidence.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace currantwalk {
+
+// Servers that end together, such as those of a zone, mostly end of another cause.
+static constexpr Duration SimultaneousPeriod = std::chrono::milliseconds(300);
+// Answers of the last one to two periods count.
+static constexpr Duration CountPeriod = std::chrono::minutes(5);
+// Limit memory and the work of finding an explanation.
+static constexpr std::size_t MaxCrashes = 64;
+static constexpr std::size_t MaxWitnessesPerCrash = 64;
+static constexpr std::size_t MaxCountedFeatures = 20000;
+static constexpr std::size_t MaxExplanations = 8;
+// Makes the number of crashes decide between features without answers.
+static constexpr double AnswersBias = 0.5;
+// Of a feature or whole request that may explain crashes.
+static constexpr std::size_t MinCandidateEvents = 2;
+// A whole request is narrower than each of its features.
+static constexpr std::size_t WholeRequestRank = std::numeric_limits<std::size_t>::max();
+
+struct CrashEvidence::Candidate
+{
+    std::uint64_t fingerprint = 0;
+    const RequestFeature *feature = nullptr; ///< Nothing for a whole request.
+    std::size_t rank = 0;                    ///< The higher, the fewer requests have it.
+    std::set<const Crash *> crashes;
+    std::set<std::uint64_t> requests;
+
+    std::size_t events() const;
+};
+
+// Repetitions of one request are one witness against its features.
+std::size_t CrashEvidence::Candidate::events() const
+{
+    std::vector<TimePoint> times;
+    for (const Crash *crash : crashes)
+        times.push_back(crash->crash.at);
+    std::sort(times.begin(), times.end());
+    std::size_t events = 0;
+    TimePoint last{};
+    for (const TimePoint time : times) {
+        if (events > 0 && time - last < SimultaneousPeriod)
+            continue;
+        ++events;
+        last = time;
+    }
+    return feature ? std::min(events, requests.size()) : events;
+}
+
+void CrashEvidence::addWitness(const TargetCrash &crash, std::uint64_t request,
+                               const std::vector<RequestFeature> &features)
+{
+    const auto known =
+            std::find_if(m_crashes.begin(), m_crashes.end(), [&crash](const Crash &each) {
+                return each.crash.target == crash.target
+                       && each.crash.incarnation == crash.incarnation;
+            });
+    Crash *const entry = known != m_crashes.end() ? &*known : &m_crashes.emplace_back();
+    if (known == m_crashes.end())
+        entry->crash = crash;
+    const bool isKnown =
+            std::any_of(entry->witnesses.begin(), entry->witnesses.end(),
+                        [request](const Witness &each) { return each.request == request; });
+    if (!isKnown && entry->witnesses.size() < MaxWitnessesPerCrash)
+        entry->witnesses.push_back({request, features});
+    if (m_crashes.size() > MaxCrashes)
+        m_crashes.pop_front();
+}
+
+void CrashEvidence::removeCrashes(const std::function<bool(const TargetCrash &)> &isRefuted)
+{
+    m_crashes.remove_if([&isRefuted](const Crash &each) { return isRefuted(each.crash); });
+}
+
+void CrashEvidence::removeExpired(TimePoint now)
+{
+    removeCrashes([now](const TargetCrash &crash) { return now - crash.at >= Lifetime; });
+}
+
+void CrashEvidence::rotateCounts(TimePoint now)
+{
+    if (now - m_rotatedAt < CountPeriod)
+        return;
+    const bool isOutdated = now - m_rotatedAt >= 2 * CountPeriod;
+    m_previous = isOutdated ? Counts{} : std::move(m_current);
+    m_current = Counts{};
+    m_rotatedAt = now;
+}
+
+void CrashEvidence::addAnswer(const std::vector<RequestFeature> &features, TimePoint now)
+{
+    rotateCounts(now);
+    for (const RequestFeature &feature : features) {
+        const bool isKnown = m_current.here.contains(feature.fingerprint);
+        if (isKnown || m_current.here.size() < MaxCountedFeatures)
+            ++m_current.here[feature.fingerprint];
+    }
+}
+
+void CrashEvidence::setAnswersOfAll(std::uint64_t feature, std::uint64_t answers, TimePoint now)
+{
+    rotateCounts(now);
+    if (m_current.ofAll.size() < MaxCountedFeatures)
+        m_current.ofAll[feature] = answers;
+}
+
+std::uint64_t CrashEvidence::answersHere(std::uint64_t feature, TimePoint now)
+{
+    rotateCounts(now);
+    std::uint64_t sum = 0;
+    for (const Counts *counts : {&m_current, &m_previous}) {
+        const auto count = counts->here.find(feature);
+        sum += count == counts->here.end() ? 0 : count->second;
+    }
+    return sum;
+}
+
+std::uint64_t CrashEvidence::answers(std::uint64_t feature) const
+{
+    std::uint64_t here = 0;
+    std::uint64_t ofAll = 0;
+    for (const Counts *counts : {&m_current, &m_previous}) {
+        const auto own = counts->here.find(feature);
+        here += own == counts->here.end() ? 0 : own->second;
+        const auto told = counts->ofAll.find(feature);
+        ofAll = std::max(ofAll, told == counts->ofAll.end() ? 0 : told->second);
+    }
+    return std::max(here, ofAll);
+}
+
+CrashEvidence::Candidates CrashEvidence::candidates(const std::vector<const Crash *> &crashes) const
+{
+    Candidates candidates;
+    for (const Crash *crash : crashes) {
+        for (const Witness &witness : crash->witnesses) {
+            const auto add = [&](std::uint64_t fingerprint, const RequestFeature *feature,
+                                 std::size_t rank) {
+                Candidate &candidate = candidates[fingerprint];
+                candidate.fingerprint = fingerprint;
+                candidate.feature = feature;
+                candidate.rank = std::max(candidate.rank, rank);
+                candidate.crashes.insert(crash);
+                candidate.requests.insert(witness.request);
+            };
+            for (std::size_t i = 0; i < witness.features.size(); ++i)
+                add(witness.features[i].fingerprint, &witness.features[i], i);
+            add(witness.request, nullptr, WholeRequestRank);
+        }
+    }
+    return candidates;
+}
+
+// Returns the candidate with the fewest answers for each event; of equal ones the narrowest.
+const CrashEvidence::Candidate *CrashEvidence::best(const Candidates &candidates) const
+{
+    const Candidate *best = nullptr;
+    std::tuple<double, std::size_t, std::uint64_t> bestCost;
+    for (const auto &[fingerprint, candidate] : candidates) {
+        if (candidate.crashes.size() < MinCandidateEvents)
+            continue;
+        const std::size_t events = candidate.events();
+        if (events < MinCandidateEvents)
+            continue;
+        const double begun = candidate.feature ? static_cast<double>(answers(fingerprint)) : 0;
+        const std::tuple<double, std::size_t, std::uint64_t> cost{
+                (begun + AnswersBias) / static_cast<double>(events),
+                WholeRequestRank - candidate.rank, fingerprint};
+        if (best && cost >= bestCost)
+            continue;
+        best = &candidate;
+        bestCost = cost;
+    }
+    return best;
+}
+
+std::vector<CrashEvidence::Verdict> CrashEvidence::verdicts(TimePoint now)
+{
+    rotateCounts(now);
+    removeExpired(now);
+    std::vector<const Crash *> unexplained;
+    for (const Crash &crash : m_crashes)
+        unexplained.push_back(&crash);
+    std::vector<Verdict> verdicts;
+    for (std::size_t i = 0; i < MaxExplanations; ++i) {
+        const Candidates all = candidates(unexplained);
+        const Candidate *const chosen = best(all);
+        if (!chosen)
+            break;
+        const std::size_t events = chosen->events();
+        const bool isBlamed = chosen->feature && events >= MinEvents
+                              && static_cast<double>(answers(chosen->fingerprint))
+                                         <= MaxAnswersPerEvent * static_cast<double>(events);
+        if (isBlamed) {
+            Verdict &verdict = verdicts.emplace_back();
+            verdict.feature = *chosen->feature;
+            for (const Crash *crash : chosen->crashes)
+                verdict.crashes.push_back(crash->crash);
+        }
+        std::erase_if(unexplained,
+                      [chosen](const Crash *crash) { return chosen->crashes.contains(crash); });
+    }
+    return verdicts;
+}
+
+} // namespace currantwalk
--- a/src/blame/poisontracker.cpp
+++ b/src/blame/poisontracker.cpp
@@ -25,6 +25,14 @@
 static constexpr std::uint32_t LateDeathWeight = 1;
 static constexpr std::uint32_t MinWeightToRefuse = 2 * DeathWeight;
 static constexpr Duration EarlyPeriod = std::chrono::seconds(1);
+static constexpr std::uint32_t MinFeatureWeightToRefuse =
+        static_cast<std::uint32_t>(CrashEvidence::MinEvents) * DeathWeight;
+// A target that crashes as it begins to answer may still send a first part.
+static constexpr Duration MinAnswerTime = std::chrono::milliseconds(250);
+// The nodes that lost requests at a target tell of them within this time.
+static constexpr Duration VerdictDelay = std::chrono::milliseconds(20);
+// Counts of other nodes are asked for again after this.
+static constexpr Duration CountsLifetime = std::chrono::seconds(5);
 // A target that has not sent anything for this long is taken for silent.
 static constexpr Duration SilencePeriod = std::chrono::seconds(1);
 // What a target has sent before its death may arrive this much later.
@@ -43,6 +51,7 @@
 static constexpr std::size_t MaxEntries = 10000;
 static constexpr std::size_t MaxClearings = 1000;
 static constexpr std::size_t MaxReportsPerDeath = 32;
+static constexpr std::size_t MaxFeaturesSeen = 1000;
 
 namespace {
 
@@ -60,6 +69,8 @@
     std::vector<Death> deaths; ///< At least one.
     TimePoint lastDeathAt = TimePoint::min();
     std::string subject;
+    std::vector<RequestFeature> features;
+    bool isOfFeature = false;
 };
 
 struct Run
@@ -72,6 +83,8 @@
     std::optional<TimePoint> lastPartAt;  ///< Of the answer.
     std::optional<TimePoint> abandonedAt; ///< Set if the node gave up waiting for the answer.
     std::string subject;
+    std::vector<RequestFeature> features;
+    bool isAnswerCounted = false;
 };
 
 /// A time during which one start of a target is known to have been alive.
@@ -86,6 +99,9 @@
 {
 public:
     PoisonTable(TimerService &timers, Hooks hooks) : m_timers(timers), m_hooks(std::move(hooks)) {}
+    ~PoisonTable() override { m_timers.cancel(m_verdictTimer); }
+    PoisonTable(const PoisonTable &) = delete;
+    PoisonTable &operator=(const PoisonTable &) = delete;
 
     Suspicion suspicion(std::uint64_t fingerprint) const override;
     void onSent(std::uint64_t fingerprint, const TargetId &target,
@@ -95,13 +111,17 @@
     void onAnswering(std::uint64_t fingerprint, const TargetId &target) override;
     void setSubject(std::uint64_t fingerprint, const TargetId &target,
                     std::string subject) override;
+    void setFeatures(std::uint64_t fingerprint, const TargetId &target,
+                     std::vector<RequestFeature> features) override;
+    std::uint64_t answersHere(std::uint64_t feature) override;
+    void onAnswersOfAll(const std::vector<FeatureAnswers> &answers) override;
     void onAbandoned(std::uint64_t fingerprint, const TargetId &target) override;
     void onReleased(std::uint64_t fingerprint, const TargetId &target, bool isComplete) override;
     void onLost(std::uint64_t fingerprint, const TargetId &target,
                 Incarnation incarnation) override;
     void onTargetDied(const TargetId &target, Incarnation incarnation) override;
     void onTargetVanished(const TargetId &target) override;
-    bool onReport(const PoisonReport &report) override { return recordDeath(report); }
+    bool onReport(const PoisonReport &report) override;
     void clear(std::uint64_t fingerprint) override { onClearing({fingerprint, Duration::zero()}); }
     bool onClearing(const PoisonClearing &clearing) override;
     bool onLifetime(const TargetLifetime &report) override;
@@ -123,6 +143,13 @@
     void removeOutdated();
     PoisonReport reportOf(const Run &run, const TargetId &target, std::size_t running) const;
     bool recordDeath(const PoisonReport &report);
+    void recordOwnDeath(const PoisonReport &report, bool isTold);
+    void addEvidence(const PoisonReport &report);
+    void countAnswer(Run &run);
+    void reachVerdicts();
+    void recordVerdict(const CrashEvidence::Verdict &verdict);
+    bool isExplained(const PoisonReport &report) const;
+    void removeExplained(const Death &death, std::uint64_t feature);
     void evictRecords();
     void evictClearings();
     Run *findRun(std::uint64_t fingerprint, const TargetId &target);
@@ -136,7 +163,15 @@
     std::unordered_map<TargetId, std::vector<Run>> m_runs;
     std::unordered_map<TargetId, TimePoint> m_vanishedAt;
     std::unordered_map<TargetId, Lifetime> m_lifetimes;
-    std::unordered_set<TargetId> m_blamedTargets; ///< Those of which a death is recorded.
+    std::unordered_set<TargetId> m_blamedTargets;       ///< Those of which a death is recorded.
+    std::unordered_set<std::uint64_t> m_blamedFeatures; ///< Those that have a record.
+    CrashEvidence m_evidence;
+    /// Features of requests that this node lost when a target crashed. Nodes that saw no crash
+    /// leave the verdict to others.
+    std::unordered_set<std::uint64_t> m_featuresSeen;
+    /// When the answers of all nodes were asked for, by feature; nothing while they are awaited.
+    std::unordered_map<std::uint64_t, std::optional<TimePoint>> m_countedAt;
+    TimerId m_verdictTimer = NoTimer;
     TimePoint m_nextRemovalAt{};
     std::optional<TimePoint> m_lastTickAt;
     std::optional<TimePoint> m_tickBeforeAt;
@@ -144,6 +179,13 @@
 
 } // namespace
 
+static bool hasFeature(const std::vector<RequestFeature> &features, std::uint64_t fingerprint)
+{
+    return std::any_of(features.begin(), features.end(), [fingerprint](const RequestFeature &each) {
+        return each.fingerprint == fingerprint;
+    });
+}
+
 // A send that is lost because the target was down already looks the same as a crash. So at least
 // one of the deaths must follow a confirmation that the target was alive; suspects are sent only to
 // targets that have given one.
@@ -155,7 +197,8 @@
         weight += death.wasAnswering ? LateDeathWeight : DeathWeight;
         isConfirmed = isConfirmed || death.hasStarted;
     }
-    return isConfirmed && weight >= MinWeightToRefuse ? Suspicion::Refused : Suspicion::Suspect;
+    const std::uint32_t least = record.isOfFeature ? MinFeatureWeightToRefuse : MinWeightToRefuse;
+    return isConfirmed && weight >= least ? Suspicion::Refused : Suspicion::Suspect;
 }
 
 std::string_view suspicionName(Suspicion suspicion)
@@ -168,6 +211,19 @@
     return std::make_unique<PoisonTable>(timers, std::move(hooks));
 }
 
+std::optional<std::uint64_t>
+PoisonTracker::findRefused(std::uint64_t fingerprint,
+                           const std::vector<RequestFeature> &features) const
+{
+    if (suspicion(fingerprint) == Suspicion::Refused)
+        return fingerprint;
+    for (const RequestFeature &feature : features) {
+        if (suspicion(feature.fingerprint) == Suspicion::Refused)
+            return feature.fingerprint;
+    }
+    return std::nullopt;
+}
+
 PoisonKnowledge PoisonTracker::knowledge(std::size_t maxRequests) const
 {
     return {reports(maxRequests), clearings(), {}};
@@ -188,7 +244,8 @@
 bool PoisonTable::isExpired(const Record &record) const
 {
     const bool isRefused = suspicionOf(record) == Suspicion::Refused;
-    const Duration lifetime = isRefused ? RefusalLifetime : SuspicionLifetime;
+    const Duration refusal = record.isOfFeature ? FeatureRefusalLifetime : RefusalLifetime;
+    const Duration lifetime = isRefused ? refusal : SuspicionLifetime;
     return m_timers.now() - record.lastDeathAt >= lifetime;
 }
 
@@ -252,6 +309,8 @@
     run->lastPartAt = m_timers.now();
     if (!run->answeringSince)
         run->answeringSince = run->lastPartAt;
+    if (*run->lastPartAt - *run->answeringSince >= MinAnswerTime)
+        countAnswer(*run);
     // The target has read the request, so it lived then. What it has sent may have been on its way
     // for some time.
     const TimePoint sentAt = std::max(run->startedAt, observedAt() - MaxTransit);
@@ -322,6 +381,10 @@
             isBlamed = isBlamed || death.target == target;
         it = deaths.empty() ? m_records.erase(it) : std::next(it);
     }
+    m_evidence.removeCrashes([&](const TargetCrash &crash) {
+        return crash.target == target
+               && isAliveAfter({crash.target, crash.incarnation, true, false, crash.at});
+    });
     if (!isBlamed)
         m_blamedTargets.erase(target);
     return isWithdrawn;
@@ -359,6 +422,8 @@
     const auto isOld = [now](const std::optional<TimePoint> &when) {
         return when && now - *when >= SilentDeathWindow;
     };
+    std::erase_if(m_blamedFeatures,
+                  [this](std::uint64_t each) { return !m_records.contains(each); });
     std::erase_if(m_vanishedAt, [&](const auto &each) { return isOld(each.second); });
     std::erase_if(m_lifetimes,
                   [now](const auto &each) { return now - each.second.until >= SuspicionLifetime; });
@@ -377,6 +442,24 @@
     run->subject = std::move(subject);
 }
 
+void PoisonTable::setFeatures(std::uint64_t fingerprint, const TargetId &target,
+                              std::vector<RequestFeature> features)
+{
+    if (Run *const run = findRun(fingerprint, target))
+        run->features = std::move(features);
+}
+
+void PoisonTable::countAnswer(Run &run)
+{
+    if (!std::exchange(run.isAnswerCounted, true))
+        m_evidence.addAnswer(run.features, m_timers.now());
+}
+
+std::uint64_t PoisonTable::answersHere(std::uint64_t feature)
+{
+    return m_evidence.answersHere(feature, m_timers.now());
+}
+
 bool PoisonTable::wasAnswering(const Run &run) const
 {
     return run.answeringSince && *run.lastPartAt - *run.answeringSince >= EarlyPeriod;
@@ -393,6 +476,10 @@
     report.hasStarted = run.hasStarted;
     report.wasAnswering = wasAnswering(run);
     report.subject = run.subject;
+    const bool isBegun =
+            run.answeringSince && *run.lastPartAt - *run.answeringSince >= MinAnswerTime;
+    if (!isBegun)
+        report.features = run.features;
     return report;
 }
 
@@ -422,8 +509,11 @@
             std::find_if(runs->second.begin(), runs->second.end(), [fingerprint](const Run &each) {
                 return each.fingerprint == fingerprint;
             });
-    if (run != runs->second.end())
+    if (run != runs->second.end()) {
+        if (isComplete)
+            countAnswer(*run);
         runs->second.erase(run);
+    }
     if (runs->second.empty())
         m_runs.erase(runs);
 }
@@ -457,8 +547,7 @@
     PoisonReport report = reportOf(run ? *run : Run{}, target, running);
     report.fingerprint = fingerprint;
     report.incarnation = incarnation;
-    if (recordDeath(report))
-        m_hooks.onDeath(report);
+    recordOwnDeath(report, true);
 }
 
 void PoisonTable::onTargetDied(const TargetId &target, Incarnation incarnation)
@@ -484,13 +573,125 @@
 void PoisonTable::recordDeaths(const TargetId &target, const std::vector<Run> &runs)
 {
     std::size_t reports = 0;
-    for (const Run &run : runs) {
-        const PoisonReport report = reportOf(run, target, runs.size());
-        if (recordDeath(report) && ++reports <= MaxReportsPerDeath)
+    for (const Run &run : runs)
+        recordOwnDeath(reportOf(run, target, runs.size()), ++reports <= MaxReportsPerDeath);
+}
+
+void PoisonTable::recordOwnDeath(const PoisonReport &report, bool isTold)
+{
+    if (m_featuresSeen.size() >= MaxFeaturesSeen)
+        m_featuresSeen.clear();
+    for (const RequestFeature &feature : report.features)
+        m_featuresSeen.insert(feature.fingerprint);
+    addEvidence(report);
+    if (recordDeath(report) && isTold)
+        m_hooks.onDeath(report);
+}
+
+bool PoisonTable::onReport(const PoisonReport &report)
+{
+    addEvidence(report);
+    return recordDeath(report);
+}
+
+// A request that completes later has still been at a target that crashed.
+void PoisonTable::addEvidence(const PoisonReport &report)
+{
+    const bool isWitness = !report.isOfFeature && report.hasStarted && !report.features.empty();
+    const Death death{report.target, report.incarnation, true, false, m_timers.now() - report.age};
+    if (!isWitness || report.age >= CrashEvidence::Lifetime || isAliveAfter(death))
+        return;
+    m_evidence.addWitness({death.target, death.incarnation, death.at}, report.fingerprint,
+                          report.features);
+    m_blamedTargets.insert(report.target);
+    if (m_verdictTimer == NoTimer)
+        m_verdictTimer = m_timers.scheduleAfter(VerdictDelay, [this] {
+            m_verdictTimer = NoTimer;
+            reachVerdicts();
+        });
+}
+
+void PoisonTable::reachVerdicts()
+{
+    const TimePoint now = m_timers.now();
+    std::vector<std::uint64_t> uncounted;
+    for (const CrashEvidence::Verdict &verdict : m_evidence.verdicts(now)) {
+        const std::uint64_t feature = verdict.feature.fingerprint;
+        if (!m_featuresSeen.contains(feature))
+            continue;
+        const auto counted = m_countedAt.find(feature);
+        const bool isAsked = counted != m_countedAt.end();
+        const bool isCounted =
+                isAsked && counted->second && now - *counted->second < CountsLifetime;
+        if (!m_hooks.countAnswers || isCounted || suspicion(feature) == Suspicion::Refused)
+            recordVerdict(verdict);
+        else if (!isAsked || counted->second)
+            uncounted.push_back(feature);
+    }
+    if (uncounted.empty())
+        return;
+    if (m_countedAt.size() >= MaxFeaturesSeen)
+        m_countedAt.clear();
+    for (const std::uint64_t feature : uncounted)
+        m_countedAt[feature] = std::nullopt;
+    m_hooks.countAnswers(uncounted);
+}
+
+// The counts of all nodes may speak for another feature.
+void PoisonTable::onAnswersOfAll(const std::vector<FeatureAnswers> &answers)
+{
+    const TimePoint now = m_timers.now();
+    for (const FeatureAnswers &each : answers) {
+        m_evidence.setAnswersOfAll(each.feature, each.answers, now);
+        m_countedAt[each.feature] = now;
+    }
+    reachVerdicts();
+}
+
+void PoisonTable::recordVerdict(const CrashEvidence::Verdict &verdict)
+{
+    for (const TargetCrash &crash : verdict.crashes) {
+        PoisonReport report;
+        report.fingerprint = verdict.feature.fingerprint;
+        report.target = crash.target;
+        report.incarnation = crash.incarnation;
+        report.subject = verdict.feature.subject;
+        report.age = m_timers.now() - crash.at;
+        report.isOfFeature = true;
+        if (recordDeath(report))
             m_hooks.onDeath(report);
     }
 }
 
+// A crash that is due to a feature speaks against no request without it.
+bool PoisonTable::isExplained(const PoisonReport &report) const
+{
+    if (report.isOfFeature)
+        return false;
+    return std::any_of(m_blamedFeatures.begin(), m_blamedFeatures.end(), [&](std::uint64_t each) {
+        const auto record = m_records.find(each);
+        if (record == m_records.end() || hasFeature(report.features, each))
+            return false;
+        const std::vector<Death> &deaths = record->second.deaths;
+        return std::any_of(deaths.begin(), deaths.end(), [&report](const Death &death) {
+            return death.target == report.target && death.incarnation == report.incarnation;
+        });
+    });
+}
+
+void PoisonTable::removeExplained(const Death &explained, std::uint64_t feature)
+{
+    for (auto it = m_records.begin(); it != m_records.end();) {
+        Record &record = it->second;
+        if (!record.isOfFeature && !hasFeature(record.features, feature))
+            std::erase_if(record.deaths, [&explained](const Death &death) {
+                return death.target == explained.target
+                       && death.incarnation == explained.incarnation;
+            });
+        it = record.deaths.empty() ? m_records.erase(it) : std::next(it);
+    }
+}
+
 // The time of a clearing is kept, as reports of earlier deaths may still be on their way.
 bool PoisonTable::onClearing(const PoisonClearing &clearing)
 {
@@ -541,7 +742,8 @@
         return reports;
     for (const Death &death : it->second.deaths)
         reports.push_back({fingerprint, death.target, death.incarnation, 0, death.hasStarted,
-                           death.wasAnswering, it->second.subject, m_timers.now() - death.at});
+                           death.wasAnswering, it->second.subject, m_timers.now() - death.at,
+                           it->second.features, it->second.isOfFeature});
     return reports;
 }
 
@@ -570,7 +772,7 @@
                       m_timers.now() - report.age};
     const auto clearing = m_clearedAt.find(report.fingerprint);
     const bool isOutdated = clearing != m_clearedAt.end() && death.at <= clearing->second;
-    if (isOutdated || isAliveAfter(death) || report.age >= RefusalLifetime)
+    if (isOutdated || isAliveAfter(death) || report.age >= RefusalLifetime || isExplained(report))
         return false;
     const auto it = m_records.find(report.fingerprint);
     if (it != m_records.end() && isExpired(it->second))
@@ -579,6 +781,9 @@
     Record &record = m_records[report.fingerprint];
     if (record.subject.empty())
         record.subject = report.subject.substr(0, MaxSubjectBytes);
+    if (record.features.empty())
+        record.features = report.features;
+    record.isOfFeature = report.isOfFeature;
     const auto known =
             std::find_if(record.deaths.begin(), record.deaths.end(), [&death](const Death &each) {
                 return each.target == death.target && each.incarnation == death.incarnation;
@@ -591,6 +796,10 @@
         return false;
     record.lastDeathAt = std::max(record.lastDeathAt, death.at);
     m_blamedTargets.insert(death.target);
+    if (report.isOfFeature) {
+        m_blamedFeatures.insert(report.fingerprint);
+        removeExplained(death, report.fingerprint);
+    }
     return true;
 }
 
@@ -618,7 +827,8 @@
     for (const auto &[fingerprint, record] : m_records) {
         if (isExpired(record))
             continue;
-        entries.push_back({fingerprint, suspicionOf(record), record.subject, targetsOf(record)});
+        entries.push_back({fingerprint, suspicionOf(record), record.subject, targetsOf(record),
+                           record.isOfFeature});
     }
     std::sort(entries.begin(), entries.end(), [](const Entry &left, const Entry &right) {
         return left.fingerprint < right.fingerprint;
--- a/src/blame/poisontracker.h
+++ b/src/blame/poisontracker.h
@@ -5,12 +5,14 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "base/ids.h"
 #include "base/timerservice.h"
+#include "blame/crashevidence.h"
 
 namespace currantwalk {
 
@@ -38,6 +40,10 @@
     bool wasAnswering = false;
     std::string subject = {}; ///< Describes the request to operators; may be empty.
     Duration age{0};          ///< Time since the death.
+    /// Of a request that the target had not begun to answer.
+    std::vector<RequestFeature> features = {};
+    /// Whether the fingerprint is that of a feature, to which the death is due.
+    bool isOfFeature = false;
 };
 
 /// Reports to other nodes that what was known of a request was cleared.
@@ -70,6 +76,8 @@
 public:
     static constexpr Duration SuspicionLifetime = std::chrono::minutes(10);
     static constexpr Duration RefusalLifetime = std::chrono::hours(1);
+    /// Of requests with a feature that crashes targets, from the last death due to it.
+    static constexpr Duration FeatureRefusalLifetime = std::chrono::minutes(5);
 
     struct Entry
     {
@@ -77,6 +85,14 @@
         Suspicion suspicion = Suspicion::None;
         std::string subject;
         std::vector<TargetId> deaths;
+        bool isOfFeature = false;
+    };
+
+    /// Answers that other nodes have begun to requests with a feature.
+    struct FeatureAnswers
+    {
+        std::uint64_t feature = 0;
+        std::uint64_t answers = 0;
     };
 
     /// Hooks that report to other nodes.
@@ -88,6 +104,9 @@
         std::function<void(const PoisonClearing &)> onCleared = nullptr;
         /// Called when deaths were withdrawn because the target was found alive; may be empty.
         std::function<void(const TargetLifetime &)> onWithdrawn = nullptr;
+        /// Finds out how many requests with each feature all nodes have answered lately, and calls
+        /// onAnswersOfAll(). If it is empty, this node's own counts decide.
+        std::function<void(const std::vector<std::uint64_t> &features)> countAnswers = nullptr;
     };
 
     static std::unique_ptr<PoisonTracker> create(TimerService &timers, Hooks hooks);
@@ -108,6 +127,13 @@
     /// Sets the text that describes a running request to operators.
     virtual void setSubject(std::uint64_t fingerprint, const TargetId &target,
                             std::string subject) = 0;
+    /// Sets what a running request has in common with others, the most common feature first.
+    virtual void setFeatures(std::uint64_t fingerprint, const TargetId &target,
+                             std::vector<RequestFeature> features) = 0;
+    /// Returns the number of requests with the feature that were answered here lately.
+    virtual std::uint64_t answersHere(std::uint64_t feature) = 0;
+    /// Called with how many requests with each feature all nodes have answered lately.
+    virtual void onAnswersOfAll(const std::vector<FeatureAnswers> &answers) = 0;
     /// Called when the node gave up waiting for the target's answer. If the target was silent and
     /// turns out to have died, it counts as a death.
     virtual void onAbandoned(std::uint64_t fingerprint, const TargetId &target) = 0;
@@ -141,6 +167,9 @@
     /// Returns the recorded deaths of one request.
     virtual std::vector<PoisonReport> reportsOf(std::uint64_t fingerprint) const = 0;
     virtual std::vector<PoisonClearing> clearings() const = 0;
+    /// Returns the fingerprint of the request, or of one of its features, that is refused.
+    std::optional<std::uint64_t> findRefused(std::uint64_t fingerprint,
+                                             const std::vector<RequestFeature> &features) const;
     /// Returns what a node that has missed all messages needs, of at most \a maxRequests requests.
     PoisonKnowledge knowledge(std::size_t maxRequests) const;
     /// Applies what another node knows; returns whether that added anything.
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -82,8 +82,9 @@
               loop.timers(),
               {[this](const PoisonReport &report) { m_poisonExchange.onDeath(report); },
                [this](const PoisonClearing &clearing) { m_poisonExchange.onCleared(clearing); },
-               [this](const TargetLifetime &lifetime) {
-                   m_poisonExchange.onWithdrawn(lifetime);
+               [this](const TargetLifetime &lifetime) { m_poisonExchange.onWithdrawn(lifetime); },
+               [this](const std::vector<std::uint64_t> &features) {
+                   m_poisonExchange.countAnswers(features);
                }})),
       m_incarnation(settings.incarnation != 0 ? settings.incarnation : unixMilliseconds()),
       m_roster({}, settings.vm),
@@ -323,8 +324,10 @@
         return;
     }
     const std::uint64_t fingerprint = requestFingerprint(request, admitted.organisationName());
-    if (m_poison->suspicion(fingerprint) == Suspicion::Refused) {
-        refusePoisonous(*exchange, caller->id, fingerprint);
+    const std::optional<std::uint64_t> refused =
+            m_poison->findRefused(fingerprint, promptPartFeatures(caller->sharedPromptParts));
+    if (refused) {
+        refusePoisonous(*exchange, caller->id, *refused);
         return;
     }
     const std::string service = pickService(admitted.route->services, m_random.uniform());
@@ -386,11 +389,14 @@
 {
     std::string detail = " fingerprint=" + fingerprintText(fingerprint) + " deaths=";
     std::string_view separator;
+    std::string subject;
     for (const PoisonReport &report : m_poison->reportsOf(fingerprint)) {
         detail += separator;
         detail += report.target.text();
         separator = ",";
+        subject = report.subject;
     }
+    detail += " of=\"" + subject + '"';
     refuseRequest(exchange, id, {503, PoisonRetryAfter, errorName(ErrorCode::PoisonousRequest)},
                   detail);
 }
--- a/src/daemon/poisonexchange.cpp
+++ b/src/daemon/poisonexchange.cpp
@@ -33,7 +33,8 @@
       m_comparison(tracker, peers,
                    {[this] { return availablePeers(); },
                     [this](const PoisonKnowledge &knowledge) { apply(knowledge); }},
-                   timers, random)
+                   timers, random),
+      m_answerPoll(tracker, peers, nodes, timers, random)
 {
 }
 
@@ -55,6 +56,7 @@
                                    responder(Json::Value(true));
                                });
     m_comparison.start();
+    m_answerPoll.start();
     deleteExpiredRecords();
 }
 
@@ -65,6 +67,9 @@
     m_unsent.reports.push_back(report);
     if (m_tracker.suspicion(report.fingerprint) == Suspicion::Refused)
         onRefused(report.fingerprint, Duration::zero());
+    // Deaths that are due to a feature speak against no request without it any more.
+    if (report.isOfFeature)
+        deleteWithdrawnRecords();
     sendSoon();
 }
 
@@ -86,6 +91,11 @@
                     + " answers on; the deaths recorded against it are withdrawn.");
     m_unsent.lifetimes.push_back(lifetime);
     sendSoon();
+    deleteWithdrawnRecords();
+}
+
+void PoisonExchange::deleteWithdrawnRecords()
+{
     for (const auto &[fingerprint, seenAt] : m_recorded) {
         if (m_tracker.suspicion(fingerprint) != Suspicion::Refused)
             deleteRecord(fingerprint);
--- a/src/daemon/poisonexchange.h
+++ b/src/daemon/poisonexchange.h
@@ -11,6 +11,7 @@
 
 #include "base/randomsource.h"
 #include "blame/poisontracker.h"
+#include "daemon/answerpoll.h"
 #include "daemon/peerlink.h"
 #include "daemon/poisoncomparison.h"
 #include "log/keyedtopicfollower.h"
@@ -51,6 +52,8 @@
     void onCleared(const PoisonClearing &clearing);
     /// Called when this node found a target alive whose death had been recorded.
     void onWithdrawn(const TargetLifetime &lifetime);
+    /// Asks other nodes how many requests with each feature they have answered lately.
+    void countAnswers(const std::vector<std::uint64_t> &features) { m_answerPoll.ask(features); }
     /// Called when the store was restored from a copy, which may lack records.
     void onRestored();
     /// Called with each record of the nodes' topic whose key names a request.
@@ -68,6 +71,7 @@
     void scheduleRecord(std::uint64_t fingerprint, Duration delay);
     void writeRecord(std::uint64_t fingerprint);
     void deleteRecord(std::uint64_t fingerprint);
+    void deleteWithdrawnRecords();
     void deleteExpiredRecords();
 
     const ZoneName m_zone;
@@ -78,6 +82,7 @@
     TimerService &m_timers;
     RandomSource &m_random;
     PoisonComparison m_comparison;
+    AnswerPoll m_answerPoll;
     PoisonKnowledge m_unsent;
     std::map<std::uint64_t, TimePoint> m_recorded; ///< When the store's records were first seen.
     std::set<std::uint64_t> m_logged;              ///< Refused requests that have their log line.
--- a/src/daemon/poisonmessages.cpp
+++ b/src/daemon/poisonmessages.cpp
@@ -10,6 +10,34 @@
 static constexpr std::string_view RecordKeyPrefix = "poison/";
 // Longest age that a message may state; older deaths do not count.
 static constexpr Duration MaxAge = std::chrono::hours(24);
+static constexpr Json::ArrayIndex MaxFeatures = 64;
+static constexpr std::size_t MaxFeatureText = 120;
+
+static Json::Value encodeFeatures(const std::vector<RequestFeature> &features)
+{
+    Json::Value rows(Json::arrayValue);
+    for (const RequestFeature &feature : features) {
+        Json::Value row(Json::arrayValue);
+        row.append(Json::UInt64(feature.fingerprint));
+        row.append(feature.subject);
+        rows.append(std::move(row));
+    }
+    return rows;
+}
+
+static absl::StatusOr<std::vector<RequestFeature>> decodeFeatures(const Json::Value &json)
+{
+    constexpr Json::ArrayIndex RowSize = 2;
+    if (!json.isNull() && (!json.isArray() || json.size() > MaxFeatures))
+        return makeError(ErrorCode::JsonInvalid, "features are no list or too many");
+    std::vector<RequestFeature> features;
+    for (const Json::Value &row : json) {
+        if (!row.isArray() || row.size() != RowSize || !row[0].isUInt64() || !row[1].isString())
+            return makeError(ErrorCode::JsonInvalid, "a feature is malformed");
+        features.push_back({row[0].asUInt64(), row[1].asString().substr(0, MaxFeatureText)});
+    }
+    return features;
+}
 
 Json::Value encodePoisonReport(const PoisonReport &report)
 {
@@ -22,6 +50,10 @@
     json["answering"] = report.wasAnswering;
     json["subject"] = report.subject;
     json["age_us"] = Json::Int64(report.age.count());
+    if (!report.features.empty())
+        json["features"] = encodeFeatures(report.features);
+    if (report.isOfFeature)
+        json["of_feature"] = true;
     return json;
 }
 
@@ -51,6 +83,11 @@
     // Earlier versions don't send these.
     report.wasAnswering = boolMember(json, "answering").value_or(false);
     report.subject = stringMember(json, "subject").value_or("");
+    report.isOfFeature = boolMember(json, "of_feature").value_or(false);
+    absl::StatusOr<std::vector<RequestFeature>> features = decodeFeatures(json["features"]);
+    if (!features.ok())
+        return features.status();
+    report.features = *std::move(features);
     const std::uint64_t age = unsignedMember(json, "age_us").value_or(0);
     const std::uint64_t longest = static_cast<std::uint64_t>(MaxAge.count());
     report.age = Duration(static_cast<Duration::rep>(std::min(age, longest)));
--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -41,6 +41,7 @@
       m_admitted(std::move(admitted)),
       m_service(std::move(service)),
       m_fingerprint(fingerprint),
+      m_features(promptPartFeatures(m_caller.sharedPromptParts)),
       m_done(std::move(done)),
       m_arrivedAt(services.timers.now())
 {
@@ -177,7 +178,7 @@
 
 bool RelaySession::isPoisonous() const
 {
-    return m_services.poison.suspicion(m_fingerprint) == Suspicion::Refused;
+    return m_services.poison.findRefused(m_fingerprint, m_features).has_value();
 }
 
 // The target has just accepted the connection, so it is alive when the request is written.
@@ -190,6 +191,7 @@
     m_services.poison.setSubject(
             m_fingerprint, entry.target,
             describeRequest(m_exchange->request(), m_admitted.organisationName()));
+    m_services.poison.setFeatures(m_fingerprint, entry.target, m_features);
 }
 
 // A target that is leaving closes its connections without being crashed.
@@ -290,7 +292,8 @@
         const bool isAllowed = isResumed ? mayGoOn() : mayUseKey(m_services.settings.maxKeyAge);
         const bool isTaking = current && current->phase != TargetPhase::Leaving
                               && (isResumed || !isHeldOff(*current));
-        const bool mayWrite = isAllowed && isTaking && m_call->onConnected(exchange);
+        const bool mayWrite =
+                isAllowed && isTaking && !isPoisonous() && m_call->onConnected(exchange);
         if (mayWrite)
             noteRunning(exchange);
         return mayWrite;
--- a/src/daemon/relaysession.h
+++ b/src/daemon/relaysession.h
@@ -134,6 +134,7 @@
     const AdmittedRequest m_admitted;
     const std::string m_service;
     const std::uint64_t m_fingerprint;
+    const std::vector<RequestFeature> m_features;
     const Done m_done;
     const TimePoint m_arrivedAt;
     int m_status = 0; ///< Of the answer that was passed on; 0: none yet.
--- a/src/daemon/requestfingerprint.cpp
+++ b/src/daemon/requestfingerprint.cpp
@@ -1,5 +1,6 @@
 #include "daemon/requestfingerprint.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstdio>
@@ -50,6 +51,22 @@
     return text;
 }
 
+std::vector<RequestFeature> promptPartFeatures(const std::vector<std::uint64_t> &parts)
+{
+    std::vector<RequestFeature> features;
+    for (const std::uint64_t part : parts) {
+        const std::string subject = "prompt part " + promptPartsText({part});
+        const std::uint64_t fingerprint = stableHash(subject);
+        const bool isKnown =
+                std::any_of(features.begin(), features.end(), [&](const RequestFeature &each) {
+                    return each.fingerprint == fingerprint;
+                });
+        if (!isKnown)
+            features.push_back({fingerprint, subject});
+    }
+    return features;
+}
+
 std::string describeRequest(const HttpRequest &request, std::string_view organisation)
 {
     std::string text = request.method + ' ' + request.path;
--- a/src/daemon/requestfingerprint.h
+++ b/src/daemon/requestfingerprint.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "blame/crashevidence.h"
 #include "net/http.h"
 
 namespace currantwalk {
@@ -20,6 +21,8 @@
 std::optional<std::uint64_t> parseFingerprint(std::string_view text);
 /// Returns the ids of parts of a prompt for logs, in hexadecimal; empty for none.
 std::string promptPartsText(const std::vector<std::uint64_t> &parts);
+/// Returns what a request whose prompt has these parts has in common with others.
+std::vector<RequestFeature> promptPartFeatures(const std::vector<std::uint64_t> &parts);
 /// Describes a request to operators by its method, path and organisation.
 std::string describeRequest(const HttpRequest &request, std::string_view organisation);
 
--- a/src/daemon/tests/promptpartfleettest.cpp
+++ b/src/daemon/tests/promptpartfleettest.cpp
@@ -1,5 +1,6 @@
 #include <string>
 
+#include "daemon/poisonmessages.h"
 #include "daemon/tests/promptpartload.h"
 
 #include <CppUTest/TestHarness.h>
@@ -8,13 +9,14 @@
 using namespace std::chrono_literals;
 
 // Requests that share one part of their prompts crash each server that begins to answer one.
-TEST_GROUP(PromptParts)
+class PromptPartRig : public Utest
 {
+public:
     std::unique_ptr<EntryFleet> fleet;
 
-    void build(std::size_t nodes, std::size_t zones)
+    void build(std::size_t nodes, std::size_t zones, const EntryFleet::Options &other = {})
     {
-        EntryFleet::Options options;
+        EntryFleet::Options options = other;
         options.nodes = nodes;
         options.zones = zones;
         options.generationServers = std::max<std::size_t>(14, nodes / 2);
@@ -36,43 +38,222 @@
         return options;
     }
 
-    PromptPartLoad::Verdict play(const PromptPartLoad::Options &options)
+    void checkBounds(const PromptPartLoad &load) const
+    {
+        const PromptPartLoad::Verdict verdict = load.judge();
+        STRCMP_EQUAL("", verdict.violation.c_str());
+        CHECK(verdict.crashes > 0);
+        CHECK(verdict.after.sent > 0);
+        CHECK_EQUAL(0U, fleet->innocents.open);
+        CHECK_EQUAL(0U, fleet->poison.open);
+    }
+
+    void play(const PromptPartLoad::Options &options, Duration rundown = 20s)
     {
         PromptPartLoad load(*fleet, options);
         load.start();
-        fleet->run(load.duration() + 20s);
-        return load.judge();
+        fleet->run(load.duration() + rundown);
+        checkBounds(load);
     }
 
-    void check(const PromptPartLoad::Options &options)
+    /// Plays a load of which no request crashes its server, so that none is to be refused.
+    void playSound(const std::function<void(int second)> &disturb)
     {
-        const PromptPartLoad::Verdict verdict = play(options);
-        STRCMP_EQUAL("", verdict.violation.c_str());
-        CHECK(verdict.crashes > 0);
+        PromptPartLoad::Options options = load(PromptPartLoad::Place::Second);
+        options.calmTime = 40s;
+        options.span = 0s;
+        PromptPartLoad load(*fleet, options);
+        load.start();
+        for (int second = 0; second < 40; ++second) {
+            disturb(second);
+            fleet->run(1s);
+        }
+        fleet->run(20s);
+        CHECK_EQUAL(0U, fleet->innocents.refusedAsPoisonous);
         CHECK_EQUAL(0U, fleet->innocents.open);
-        CHECK_EQUAL(0U, fleet->poison.open);
+        CHECK(fleet->innocents.served > 400);
     }
 };
 
+TEST_GROUP_BASE(PromptParts, PromptPartRig){};
+
 TEST(PromptParts, partThatCrashesServersIsRefusedAndLookalikesServedAtSevenNodes)
 {
     for (const auto place : {PromptPartLoad::Place::Second, PromptPartLoad::Place::First}) {
         build(7, 3);
-        check(load(place));
+        play(load(place));
+        CHECK(fleet->poison.refusedAsPoisonous > 0);
+        CHECK_EQUAL(0U, fleet->innocents.refusedAsPoisonous);
+    }
+}
+
+TEST(PromptParts, partThatCrashesOnlySomeServersIsRefused)
+{
+    for (const double share : {0.7, 0.4}) {
+        build(7, 3);
+        PromptPartLoad::Options options = load(PromptPartLoad::Place::Second);
+        options.crashShare = share;
+        play(options);
+        CHECK_EQUAL(0U, fleet->innocents.refusedAsPoisonous);
+    }
+}
+
+TEST(PromptParts, partThatSilencesServersIsRefused)
+{
+    EntryFleet::Options options;
+    options.crash = SimEnd::Silent;
+    build(7, 3, options);
+    play(load(PromptPartLoad::Place::Second));
+    CHECK_EQUAL(0U, fleet->innocents.refusedAsPoisonous);
+}
+
+TEST(PromptParts, partIsRefusedWhereServersRestartUnderTheirIds)
+{
+    EntryFleet::Options options;
+    options.doServersKeepIds = true;
+    build(7, 3, options);
+    play(load(PromptPartLoad::Place::First));
+    CHECK_EQUAL(0U, fleet->innocents.refusedAsPoisonous);
+}
+
+TEST(PromptParts, partIsRefusedWhereItsRequestsAreRepeated)
+{
+    build(7, 3);
+    PromptPartLoad::Options options = load(PromptPartLoad::Place::Second);
+    options.repeatShare = 0.5;
+    play(options);
+    CHECK_EQUAL(0U, fleet->innocents.refusedAsPoisonous);
+}
+
+TEST(PromptParts, partOfResumableStreamsIsRefused)
+{
+    build(7, 3);
+    PromptPartLoad::Options options = load(PromptPartLoad::Place::Second);
+    options.path = "/resumable/parts";
+    play(options);
+    CHECK_EQUAL(0U, fleet->innocents.refusedAsPoisonous);
+}
+
+TEST(PromptParts, twoPartsThatCrashServersAtOnceAreRefused)
+{
+    build(7, 3);
+    PromptPartLoad::Options options = load(PromptPartLoad::Place::Second);
+    PromptPartLoad first(*fleet, options);
+    options.poison = "worse";
+    options.place = PromptPartLoad::Place::First;
+    PromptPartLoad second(*fleet, options);
+    first.start();
+    second.start();
+    fleet->run(first.duration() + 20s);
+    checkBounds(first);
+    checkBounds(second);
+    CHECK_EQUAL(0U, fleet->innocents.refusedAsPoisonous);
+}
+
+TEST(PromptParts, partIsRefusedBesideAWholeRequestThatCrashesServers)
+{
+    build(7, 3);
+    PromptPartLoad load(*fleet, this->load(PromptPartLoad::Place::Second));
+    load.start();
+    fleet->run(15s);
+    fleet->repeatPoison("/stream/p", 500ms, 20s);
+    fleet->run(load.duration() + 5s);
+    checkBounds(load);
+    CHECK(fleet->crashesBy("/stream/p") <= 3);
+    CHECK_EQUAL(0U, fleet->innocents.refusedAsPoisonous);
+}
+
+TEST(PromptParts, partStaysRefusedAfterAllNodesRestartAtOnce)
+{
+    build(7, 3);
+    PromptPartLoad load(*fleet, this->load(PromptPartLoad::Place::Second));
+    load.start();
+    fleet->run(25s);
+    const std::size_t crashes = load.judge().crashes;
+    CHECK(crashes >= 3);
+    for (std::size_t i = 0; i < 7; ++i)
+        fleet->killNode(i);
+    fleet->run(500ms);
+    for (std::size_t i = 0; i < 7; ++i)
+        fleet->startNode(i);
+    fleet->run(40s);
+    CHECK_EQUAL(crashes, load.judge().crashes);
+    checkBounds(load);
+}
+
+TEST(PromptParts, noPartIsRefusedWhereServersCrashOfOtherCauses)
+{
+    build(7, 3);
+    playSound(
+            [this](int) { fleet->servers[fleet->random.uniformBelow(14)]->crash(SimEnd::Reset); });
+}
+
+TEST(PromptParts, noPartIsRefusedWhereServersOfAZoneCrashAtOnce)
+{
+    build(7, 3);
+    playSound([this](int second) {
+        for (std::size_t i = 0; second % 8 == 2 && i < 14; ++i) {
+            if (fleet->servers[i]->options.zone.text() == "z" + std::to_string(second / 8 % 3))
+                fleet->servers[i]->crash(SimEnd::Reset);
+        }
+    });
+}
+
+TEST(PromptParts, noPartIsRefusedForAWholeRequestThatCrashesServers)
+{
+    build(7, 3);
+    playSound([this](int second) {
+        const HttpRequest request{"POST",
+                                  "/stream/parts",
+                                  {{PartsHeader, "f0,f0s1,own"}},
+                                  "poison " + std::to_string(second / 20)};
+        fleet->request(fleet->randomReadyNode(), request, fleet->poison, nullptr);
+    });
+}
+
+TEST(PromptParts, operatorClearsARefusedPart)
+{
+    build(7, 3);
+    PromptPartLoad load(*fleet, this->load(PromptPartLoad::Place::Second));
+    load.start();
+    fleet->run(25s);
+    std::vector<std::string> keys;
+    for (const auto &[key, value] : fleet->store.newest(EntryFleet::RosterTopic)) {
+        if (isPoisonRecordKey(key))
+            keys.push_back(key);
     }
+    CHECK_EQUAL(1U, keys.size());
+    const absl::StatusOr<PoisonRecord> record =
+            decodePoisonRecord(fleet->store.newest(EntryFleet::RosterTopic).at(keys[0]), 0);
+    CHECK(record.ok());
+    STRCMP_CONTAINS("prompt part ", record->subject.c_str());
+    CHECK(record->deaths.size() >= 3);
+    CHECK(fleet->poison.refusedAsPoisonous > 0);
+    fleet->poisonParts.clear();
+    fleet->store.append(EntryFleet::RosterTopic, keys[0], std::nullopt);
+    fleet->run(1s);
+    const std::uint32_t refusedAtClearing = fleet->poison.refusedAsPoisonous;
+    fleet->run(30s);
+    CHECK_EQUAL(refusedAtClearing, fleet->poison.refusedAsPoisonous);
 }
 
-TEST(PromptParts, partThatCrashesServersIsRefusedAndLookalikesServedAtNinetyNodes)
+TEST_GROUP_BASE(PromptPartsAtNinetyNodes, PromptPartRig){};
+
+TEST(PromptPartsAtNinetyNodes, partThatCrashesServersIsRefusedAndLookalikesServed)
 {
     build(90, 4);
-    check(load(PromptPartLoad::Place::Second, 3));
+    play(load(PromptPartLoad::Place::Second, 3), 5s);
+    CHECK_EQUAL(0U, fleet->innocents.refusedAsPoisonous);
 }
 
-TEST(PromptParts, partThatCrashesServersIsRefusedAndLookalikesServedAtThreeHundredAndThirtyNodes)
+TEST_GROUP_BASE(PromptPartsAtThreeHundredAndThirtyNodes, PromptPartRig){};
+
+TEST(PromptPartsAtThreeHundredAndThirtyNodes, partThatCrashesServersIsRefusedAndLookalikesServed)
 {
     build(330, 27);
     PromptPartLoad::Options options = load(PromptPartLoad::Place::Second, 4);
-    options.calmTime = 6s;
-    options.span = 14s;
-    check(options);
+    options.calmTime = 5s;
+    options.span = 12s;
+    play(options, 4s);
+    CHECK_EQUAL(0U, fleet->innocents.refusedAsPoisonous);
 }
