--- a/src/daemon/tests/entrynodetest.cpp
+++ b/src/daemon/tests/entrynodetest.cpp
@@ -5,6 +5,7 @@
 
 #include "base/json.h"
 #include "daemon/entrynode.h"
+#include "daemon/tests/looptopic.h"
 #include "net/tests/looptesting.h"
 #include "net/tests/rawsocket.h"
 #include "observe/tests/logcapture.h"
@@ -17,60 +18,14 @@
 /// An entry node on a real loop, with a store that a test fills and targets on the loopback.
 TEST_GROUP(EntryNode)
 {
-    struct Topic
-    {
-        std::vector<KeyedRecord> records;
-        std::vector<std::pair<LogOffset, KeyedTopicHooks::TailCallback>> waiting;
-        bool isDown = false;
-        TimePoint polledAt{}; ///< When the last read of the tail was sent.
-    };
-
     LoopBench targetBench; ///< Its listener is the target; the exchanges are answered by the test.
-    Topic catalogTopic;
-    Topic targetsTopic;
+    LoopTopic catalogTopic;
+    LoopTopic targetsTopic;
     EntrySettings settings;
     std::unique_ptr<EntryNode> node;
     CallRecord record;
     std::unique_ptr<HttpCall> sent;
 
-    KeyedTopicHooks topicHooks(Topic & topic)
-    {
-        KeyedTopicHooks hooks;
-        hooks.readNewest = [this, &topic](const std::string &, KeyedTopicHooks::PageCallback done) {
-            targetBench.loop->timers().scheduleAfter(Duration::zero(), [&topic, done] {
-                if (topic.isDown)
-                    done(makeError(ErrorCode::LogUnavailable, "down"));
-                else
-                    done(KeyedPage{topic.records, false, topic.records.size()});
-            });
-        };
-        hooks.readTail = [this, &topic](LogOffset from, Duration,
-                                        KeyedTopicHooks::TailCallback done) {
-            topic.polledAt = targetBench.loop->timers().now();
-            topic.waiting.emplace_back(from, std::move(done));
-        };
-        return hooks;
-    }
-
-    void append(Topic & topic, const std::string &key, std::optional<std::string> value)
-    {
-        topic.records.push_back({key, std::move(value), topic.records.size()});
-        answerTails(topic);
-    }
-
-    static void answerTails(Topic & topic)
-    {
-        const auto waiting = std::exchange(topic.waiting, {});
-        for (const auto &[from, done] : waiting) {
-            KeyedTail tail;
-            tail.records.assign(topic.records.begin() + static_cast<std::ptrdiff_t>(from),
-                                topic.records.end());
-            tail.next = topic.records.size();
-            tail.end = topic.records.size();
-            done(tail);
-        }
-    }
-
     static absl::StatusOr<CatalogContent> catalogOf(const std::string &text)
     {
         CatalogContent content;
@@ -143,8 +98,8 @@
         bindings.writeReportCall = [] { return HttpRequest{"GET", "/report", {}, {}}; };
         bindings.readIsLeaving = [](const HttpResponse &) { return false; };
         bindings.readinessPath = "/ready";
-        bindings.catalogTopic = topicHooks(catalogTopic);
-        bindings.targetsTopic = topicHooks(targetsTopic);
+        bindings.catalogTopic = catalogTopic.hooks(targetBench.loop->timers());
+        bindings.targetsTopic = targetsTopic.hooks(targetBench.loop->timers());
         bindings.catalogKey = "config";
         bindings.readCatalog = &catalogOf;
         bindings.readTarget = [](const std::string &text) -> absl::StatusOr<TargetEntry> {
@@ -174,8 +129,8 @@
 
     void startServing()
     {
-        append(catalogTopic, "config", "1");
-        append(targetsTopic, "t1", targetBench.server.toString());
+        catalogTopic.append("config", "1");
+        targetsTopic.append("t1", targetBench.server.toString());
         start();
         CHECK(targetBench.runUntil([this] { return node->isReady(); }));
     }
@@ -248,7 +203,7 @@
 TEST(EntryNode, aRevokedKeyRunsNothingMore)
 {
     startServing();
-    append(catalogTopic, "config", "2");
+    catalogTopic.append("config", "2");
     send("/a/x");
     LONGS_EQUAL(401, answer());
     CHECK(targetBench.exchanges.empty());
@@ -265,9 +220,9 @@
         return targetBench.loop->timers().now() - catalogTopic.polledAt > settings.maxKeyAge;
     }));
     // The first poll was sent long ago; only the one after it proves what is newest now.
-    answerTails(catalogTopic);
+    catalogTopic.answerTails();
     CHECK(!node->isReady());
-    answerTails(catalogTopic);
+    catalogTopic.answerTails();
     CHECK(node->isReady());
 }
 
@@ -276,9 +231,9 @@
 {
     startServing();
     const auto source = startStream(0);
-    append(targetsTopic, "t2", targetBench.server.toString());
+    targetsTopic.append("t2", targetBench.server.toString());
     CHECK(targetBench.runUntil([this] { return !node->isReady(); }));
-    append(targetsTopic, "t1", "leaving " + targetBench.server.toString());
+    targetsTopic.append("t1", "leaving " + targetBench.server.toString());
     const auto copy = arrival(1);
     STRCMP_EQUAL("/copy", copy->request().path.c_str());
     respond(*copy, 200, "text/plain", "h1");
@@ -294,9 +249,9 @@
 {
     startServing();
     const auto source = startStream(0);
-    append(targetsTopic, "t2", targetBench.server.toString());
-    append(catalogTopic, "config", "2");
-    append(targetsTopic, "t1", "leaving " + targetBench.server.toString());
+    targetsTopic.append("t2", targetBench.server.toString());
+    catalogTopic.append("config", "2");
+    targetsTopic.append("t1", "leaving " + targetBench.server.toString());
     source->write("id: 2\ndata: y\n\n");
     source->finish();
     CHECK(targetBench.runUntil([this] { return record.status.has_value(); }));
@@ -367,7 +322,7 @@
 TEST(EntryNode, anAbandonedExchangeDoesNotReportIntoItsSession)
 {
     startServing();
-    append(targetsTopic, "t2", targetBench.server.toString());
+    targetsTopic.append("t2", targetBench.server.toString());
     for (int round = 0; round < 20; ++round) {
         const std::size_t first = targetBench.exchanges.size();
         send("/i/x");
@@ -382,8 +337,8 @@
             return record.status.has_value();
         }));
         LONGS_EQUAL(200, record.head.status);
-        answerTails(catalogTopic);
-        answerTails(catalogTopic);
+        catalogTopic.answerTails();
+        catalogTopic.answerTails();
     }
 }
 
@@ -414,8 +369,8 @@
 
     void startRelay(const char *path)
     {
-        append(catalogTopic, "config", "1");
-        append(targetsTopic, "t1", target.endpoint().toString());
+        catalogTopic.append("config", "1");
+        targetsTopic.append("t1", target.endpoint().toString());
         start();
         CHECK(targetBench.runUntil([this] { return node->isReady(); }));
         caller = std::make_unique<RawSocket>(node->callersEndpoint());
