A run of the simulated fleet depends on its seed alone

Cause: sessions of a node and conversations of the simulated net were kept in containers ordered by address, and the order in which streams moved and connections were reset followed the heap; ages of records in the simulated store came from the operating system's time of day. Sessions and conversations are numbered now; the time of day is a binding of the entry node, on virtual time in the fleet. The crashes that a feature explains are listed in the order of their records, too.

Evidence: PoisonSoak.aRunDependsOnItsSeedAlone plays seeds 2 and 3 twice, with a disordered heap in between, and compares a digest of all arrivals at servers: red before, green now. The soak prints the digest.

--- a/src/blame/crashevidence.cpp
+++ b/src/blame/crashevidence.cpp
@@ -29,7 +29,7 @@
     std::uint64_t fingerprint = 0;
     const RequestFeature *feature = nullptr; ///< Nothing for a whole request.
     std::size_t rank = 0;                    ///< The higher, the fewer requests have it.
-    std::set<const Crash *> crashes;
+    std::vector<const Crash *> crashes;      ///< In the order of their records.
     std::set<std::uint64_t> requests;
 
     std::size_t events() const;
@@ -145,7 +145,8 @@
                 candidate.fingerprint = fingerprint;
                 candidate.feature = feature;
                 candidate.rank = std::max(candidate.rank, rank);
-                candidate.crashes.insert(crash);
+                if (candidate.crashes.empty() || candidate.crashes.back() != crash)
+                    candidate.crashes.push_back(crash);
                 candidate.requests.insert(witness.request);
             };
             for (std::size_t i = 0; i < witness.features.size(); ++i)
@@ -202,8 +203,10 @@
             for (const Crash *crash : chosen->crashes)
                 verdict.crashes.push_back(crash->crash);
         }
-        std::erase_if(unexplained,
-                      [chosen](const Crash *crash) { return chosen->crashes.contains(crash); });
+        std::erase_if(unexplained, [chosen](const Crash *crash) {
+            return std::find(chosen->crashes.begin(), chosen->crashes.end(), crash)
+                   != chosen->crashes.end();
+        });
     }
     return verdicts;
 }
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -86,7 +86,8 @@
                [this](const std::vector<std::uint64_t> &features) {
                    m_poisonExchange.countAnswers(features);
                }})),
-      m_incarnation(settings.incarnation != 0 ? settings.incarnation : unixMilliseconds()),
+      m_incarnation(settings.incarnation != 0 ? settings.incarnation
+                                              : m_bindings.unixMilliseconds()),
       m_roster({}, settings.vm),
       m_readers({}, settings.vm, settings.zone, m_roster),
       m_peers(loop.client(), loop.timers(), settings.peerKey, false, m_metrics),
@@ -100,7 +101,8 @@
                [this](const LeavingNotice &target) { m_targets.applyLeavingNotice(target); }},
               loop.timers()),
       m_poisonExchange(settings.zone, *m_poison, m_peers, m_roster,
-                       {m_bindings.writeRoster, &unixMilliseconds}, loop.timers(), m_random),
+                       {m_bindings.writeRoster, m_bindings.unixMilliseconds}, loop.timers(),
+                       m_random),
       m_services(relayServices())
 {
 }
@@ -207,10 +209,7 @@
     hooks.handOver = [] {};
     hooks.exit = [this] {
         m_isStopped = true;
-        std::vector<RelaySession *> sessions;
-        for (const auto &[session, owner] : m_sessions)
-            sessions.push_back(session);
-        for (RelaySession *session : sessions)
+        for (RelaySession *session : sessions())
             session->shutDown();
         // One more round lets the last answers be written.
         m_loop.timers().scheduleAfter(StopReserve / 3, [this] { m_loop.stop(); });
@@ -258,11 +257,8 @@
 {
     if (!target.isLeavingAnnounced)
         m_poison->onTargetVanished(target.id);
-    std::vector<RelaySession *> sessions;
-    for (const auto &[session, owner] : m_sessions)
-        sessions.push_back(session);
     const TargetId id = target.id;
-    for (RelaySession *session : sessions)
+    for (RelaySession *session : sessions())
         session->targetLeaving(id);
     // Peers that can't read the store hear of it from this node.
     m_loads.onChange();
@@ -332,18 +328,28 @@
     }
     const std::string service = pickService(admitted.route->services, m_random.uniform());
     allowance(service).onRequest(m_loop.timers().now());
+    const std::uint64_t number = ++m_lastSession;
     auto session = std::make_unique<RelaySession>(
             m_services, exchange, std::move(*caller), std::move(admitted), service, fingerprint,
-            [this](RelaySession *done) { onSessionDone(done); });
+            [this, number](RelaySession *) { onSessionDone(number); });
     RelaySession *const raw = session.get();
-    m_sessions.emplace(raw, std::move(session));
+    m_sessions.emplace(number, std::move(session));
     raw->start();
 }
 
+// Sessions that end or begin meanwhile do not change the list.
+std::vector<RelaySession *> EntryNode::sessions() const
+{
+    std::vector<RelaySession *> sessions;
+    for (const auto &[number, session] : m_sessions)
+        sessions.push_back(session.get());
+    return sessions;
+}
+
 // The session may be in the middle of a callback; it is dropped in the loop's next round.
-void EntryNode::onSessionDone(RelaySession *session)
+void EntryNode::onSessionDone(std::uint64_t number)
 {
-    m_loop.timers().scheduleAfter(Duration::zero(), [this, session] { m_sessions.erase(session); });
+    m_loop.timers().scheduleAfter(Duration::zero(), [this, number] { m_sessions.erase(number); });
 }
 
 void EntryNode::refuseUnadmitted(HttpExchange &exchange, Admission admission, const RequestId &id)
--- a/src/daemon/entrynode.h
+++ b/src/daemon/entrynode.h
@@ -3,7 +3,6 @@
 
 #include <map>
 #include <memory>
-#include <unordered_map>
 
 #include "base/randomsource.h"
 #include "daemon/loadexchange.h"
@@ -69,7 +68,8 @@
 
     void onProbe(HttpExchange &exchange);
     void onRequest(const std::shared_ptr<HttpExchange> &exchange);
-    void onSessionDone(RelaySession *session);
+    void onSessionDone(std::uint64_t number);
+    std::vector<RelaySession *> sessions() const;
     void refuse(HttpExchange &exchange, EntryRefusal refusal);
     void refuseUnadmitted(HttpExchange &exchange, Admission admission, const RequestId &id);
     void refuseRequest(HttpExchange &exchange, const RequestId &id, const EntryRefusal &refusal,
@@ -127,7 +127,8 @@
     std::unique_ptr<KeyedTopicFollower> m_catalogFollower;
     std::unique_ptr<KeyedTopicFollower> m_targetsFollower;
     RelayServices m_services;
-    std::unordered_map<RelaySession *, std::unique_ptr<RelaySession>> m_sessions;
+    std::map<std::uint64_t, std::unique_ptr<RelaySession>> m_sessions; ///< By their numbers.
+    std::uint64_t m_lastSession = 0;
     TimerId m_tickTimer = NoTimer;
     TimerId m_announceTimer = NoTimer;
     TimerId m_eraTimer = NoTimer;
--- a/src/daemon/entrytypes.h
+++ b/src/daemon/entrytypes.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "base/unixtime.h"
 #include "calls/relaycall.h"
 #include "config/servicecatalog.h"
 #include "log/keyedtopicfollower.h"
@@ -100,6 +101,8 @@
     std::function<void(const std::string &key, const std::optional<std::string> &value,
                        std::function<void(const absl::Status &)> callback)>
             writeRoster;
+    /// Returns the time of day.
+    std::function<std::uint64_t()> unixMilliseconds = &currantwalk::unixMilliseconds;
     std::string catalogKey; ///< Of the record that holds the catalogue.
     std::function<absl::StatusOr<CatalogContent>(const std::string &)> readCatalog;
     std::function<absl::StatusOr<TargetEntry>(const std::string &)> readTarget;
--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -301,6 +301,11 @@
                                  callback(status);
                          });
     };
+    bindings.unixMilliseconds = [this] {
+        const Duration elapsed = timers.now().time_since_epoch();
+        return static_cast<std::uint64_t>(
+                std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count());
+    };
     bindings.catalogKey = "config";
     bindings.readCatalog = &readCatalog;
     bindings.readTarget = &readTarget;
--- a/src/daemon/tests/poisonsoak.cpp
+++ b/src/daemon/tests/poisonsoak.cpp
@@ -274,6 +274,18 @@
             }));
 }
 
+std::uint64_t PoisonSoak::digest() const
+{
+    std::uint64_t digest = 0;
+    for (const std::unique_ptr<SimServer> &server : m_fleet.servers) {
+        for (const SimArrival &arrival : server->arrivals())
+            digest = stableHash(arrival.host + ' ' + std::to_string(arrival.start) + ' '
+                                        + std::to_string(arrival.when.time_since_epoch().count()),
+                                digest);
+    }
+    return digest;
+}
+
 PoisonSoak::Report PoisonSoak::run()
 {
     const std::size_t requests = 1 + m_random.uniformBelow(3);
@@ -308,6 +320,7 @@
         report.violation += "a poisonous request was served; ";
     if (m_fleet.poison.open + m_fleet.innocents.open > 0)
         report.violation += "requests were not answered; ";
+    report.digest = digest();
     report.served = m_fleet.innocents.served;
     report.refusedAsPoisonous = m_fleet.innocents.refusedAsPoisonous;
     return report;
--- a/src/daemon/tests/poisonsoak.h
+++ b/src/daemon/tests/poisonsoak.h
@@ -25,6 +25,7 @@
         std::size_t lateArrivals = 0;
         std::uint32_t served = 0; ///< Of the harmless requests.
         std::uint32_t refusedAsPoisonous = 0;
+        std::uint64_t digest = 0; ///< Of all arrivals at servers; the same for runs that are alike.
     };
 
     explicit PoisonSoak(std::uint64_t seed);
@@ -56,6 +57,7 @@
     bool isDisturbed(const std::string &host, TimePoint from, TimePoint until) const;
     std::size_t lateArrivals(const SimPoisonLog &log) const;
     std::string findServerViolations() const;
+    std::uint64_t digest() const;
 
     RandomSource m_random;
     EntryFleet m_fleet;
--- a/src/daemon/tests/poisonsoakmain.cpp
+++ b/src/daemon/tests/poisonsoakmain.cpp
@@ -35,10 +35,10 @@
         served += report.served;
         refused += report.refusedAsPoisonous;
         std::printf("seed %lld: crashes %zu, late arrivals %zu, harmless requests served %u, "
-                    "refused as poisonous %u%s%s\n",
+                    "refused as poisonous %u, digest %016llx%s%s\n",
                     seed, report.crashes, report.lateArrivals, report.served,
-                    report.refusedAsPoisonous, report.violation.empty() ? "" : ": ",
-                    report.violation.c_str());
+                    report.refusedAsPoisonous, static_cast<unsigned long long>(report.digest),
+                    report.violation.empty() ? "" : ": ", report.violation.c_str());
     }
     std::printf("harmless requests served %llu, refused as poisonous %llu\n", served, refused);
     std::printf("%lld passed, %lld failed\n", seeds - failed, failed);
--- a/src/daemon/tests/poisonsoaktest.cpp
+++ b/src/daemon/tests/poisonsoaktest.cpp
@@ -1,3 +1,7 @@
+#include <memory>
+#include <vector>
+
+#include "base/randomsource.h"
 #include "daemon/tests/poisonsoak.h"
 
 #include <CppUTest/TestHarness.h>
@@ -6,6 +10,31 @@
 
 TEST_GROUP(PoisonSoak){};
 
+// Blocks of many sizes, some of them freed, give the next run other addresses.
+static std::vector<std::unique_ptr<char[]>> disorderTheHeap()
+{
+    constexpr std::size_t Blocks = 200'000;
+    constexpr std::size_t MaxBlockBytes = 600;
+    RandomSource random(1);
+    std::vector<std::unique_ptr<char[]>> blocks;
+    for (std::size_t i = 0; i < Blocks; ++i)
+        blocks.push_back(std::make_unique<char[]>(1 + random.uniformBelow(MaxBlockBytes)));
+    for (std::size_t i = 0; i < Blocks; ++i) {
+        if (random.chance(0.5))
+            blocks[random.uniformBelow(Blocks)].reset();
+    }
+    return blocks;
+}
+
+TEST(PoisonSoak, aRunDependsOnItsSeedAlone)
+{
+    for (const std::uint64_t seed : {2, 3}) {
+        const std::uint64_t digest = PoisonSoak(seed).run().digest;
+        const auto blocks = disorderTheHeap();
+        CHECK_EQUAL(digest, PoisonSoak(seed).run().digest);
+    }
+}
+
 // More seeds by hand: utils/poisonsoak.sh --first-seed N --seeds M.
 TEST(PoisonSoak, boundsHoldUnderRandomFaults)
 {
--- a/src/daemon/tests/simnet.cpp
+++ b/src/daemon/tests/simnet.cpp
@@ -137,15 +137,15 @@
     m_listeners.erase(endpoint);
     if (end == SimEnd::Silent)
         m_silent.insert(endpoint);
-    const std::set<std::shared_ptr<SimConversation>> conversations = m_conversations;
-    for (const std::shared_ptr<SimConversation> &each : conversations) {
+    const auto conversations = m_conversations;
+    for (const auto &[number, each] : conversations) {
         if (!each->isServerOpen || each->server != endpoint)
             continue;
         each->isServerOpen = false;
         each->onServerClosed = nullptr;
         each->isMuted = end == SimEnd::Silent;
         if (!each->isMuted)
-            deliver(endpoint.address, each->client, [this, each] {
+            deliver(endpoint.address, each->client, [this, each = each] {
                 endClient(each, makeError(ErrorCode::ConnectionLost, "reset"));
             });
     }
@@ -154,7 +154,7 @@
 // The hooks of a conversation may own what holds the conversation.
 SimNet::~SimNet()
 {
-    for (const std::shared_ptr<SimConversation> &conversation : m_conversations) {
+    for (const auto &[number, conversation] : m_conversations) {
         conversation->hooks = {};
         conversation->onServerClosed = nullptr;
         conversation->onDrained = nullptr;
@@ -171,8 +171,8 @@
     }
     for (const Endpoint &endpoint : endpoints)
         close(endpoint, SimEnd::Reset);
-    const std::set<std::shared_ptr<SimConversation>> conversations = m_conversations;
-    for (const std::shared_ptr<SimConversation> &each : conversations) {
+    const auto conversations = m_conversations;
+    for (const auto &[number, each] : conversations) {
         if (each->client != host || !each->isClientOpen)
             continue;
         each->isClientOpen = false;
@@ -189,7 +189,8 @@
     conversation->server = options.endpoint;
     conversation->request = std::move(request);
     conversation->hooks = std::move(hooks);
-    m_conversations.insert(conversation);
+    conversation->number = ++m_lastConversation;
+    m_conversations.emplace(conversation->number, conversation);
     connect(conversation, options);
     return std::make_unique<SimCall>(*this, conversation);
 }
@@ -255,7 +256,7 @@
                        const absl::Status &status)
 {
     m_timers.cancel(std::exchange(conversation->deadline, NoTimer));
-    m_conversations.erase(conversation);
+    m_conversations.erase(conversation->number);
     if (!std::exchange(conversation->isClientOpen, false))
         return;
     if (!status.ok())
@@ -268,7 +269,7 @@
 void SimNet::endServer(const std::shared_ptr<SimConversation> &conversation)
 {
     m_timers.cancel(std::exchange(conversation->deadline, NoTimer));
-    m_conversations.erase(conversation);
+    m_conversations.erase(conversation->number);
     deliver(conversation->client, conversation->server.address, [conversation] {
         if (!std::exchange(conversation->isServerOpen, false))
             return;
--- a/src/daemon/tests/simnet.h
+++ b/src/daemon/tests/simnet.h
@@ -26,6 +26,7 @@
 /// One HTTP exchange between two hosts.
 struct SimConversation
 {
+    std::uint64_t number = 0;
     std::string client;
     Endpoint server;
     HttpCallHooks hooks;
@@ -90,7 +91,8 @@
     std::map<std::string, NodeTimers *> m_hosts; ///< Other hosts run without timers of their own.
     std::map<Endpoint, HttpHandler> m_listeners;
     std::set<Endpoint> m_silent; ///< Endpoints that went silent.
-    std::set<std::shared_ptr<SimConversation>> m_conversations;
+    std::map<std::uint64_t, std::shared_ptr<SimConversation>> m_conversations; ///< By number.
+    std::uint64_t m_lastConversation = 0;
 };
 
 /// The event loop of one host of a SimNet.
