What targets say in answers to calls for their reports counts

While the store is away, nodes ask the targets of their streams for reports every 250 ms, and read no time from an answer that turned such a call away. Where the answer's body never ended, nothing that its head said counted either.

EntryNode::askTarget notes the time, and both it and the answer to a copy read what a head says whatever becomes of the body (FetchResult: status 0 if no head came). The tests' binding reads that a server leaves, as the platform's does.

--- a/src/daemon/entrynodestore.cpp
+++ b/src/daemon/entrynodestore.cpp
@@ -367,19 +367,38 @@
     }
 }
 
+// A target that turns a call for its report away wants nothing else either.
+void EntryNode::noteTurnedAway(const TargetId &id, Incarnation startedAt,
+                               const HttpResponseHead &head)
+{
+    const RelayAnswerHead answer = m_bindings.readAnswerHead(head, RequestId());
+    if (answer.status != 503 || answer.retryAfter <= Duration::zero())
+        return;
+    m_holdOffs.onTurnedAway(id, startedAt, answer.retryAfter, m_loop.timers().now());
+    const auto period = std::chrono::duration_cast<std::chrono::milliseconds>(answer.retryAfter);
+    logLine(LogPart::Targets, LogLevel::Info,
+            "Target " + id.text() + " turned a call for its report away and wants nothing for "
+                    + std::to_string(period.count()) + " ms.");
+}
+
 void EntryNode::askTarget(const ServiceTarget &target)
 {
     HttpCallOptions options;
     options.endpoint = target.entry.endpoint;
     options.isConnectionKept = false;
-    m_fetcher.fetch(options, m_bindings.writeReportCall(), ReportTimeout,
-                    [this, id = target.id](const FetchResult &result) {
-                        if (!result.status.ok() || !m_bindings.readIsLeaving(result.response))
-                            return;
-                        logLine(LogPart::Targets, LogLevel::Info,
-                                "Target " + id.text() + " says that it is leaving.");
-                        m_targets.markLeaving(id);
-                    });
+    m_fetcher.fetch(
+            options, m_bindings.writeReportCall(), ReportTimeout,
+            [this, id = target.id, startedAt = target.entry.startedAt](const FetchResult &result) {
+                // What the head says holds also where the body never ends.
+                if (result.response.head.status == 0)
+                    return;
+                noteTurnedAway(id, startedAt, result.response.head);
+                if (!m_bindings.readIsLeaving(result.response))
+                    return;
+                logLine(LogPart::Targets, LogLevel::Info,
+                        "Target " + id.text() + " says that it is leaving.");
+                m_targets.markLeaving(id);
+            });
 }
 
 } // namespace currantwalk
--- a/src/daemon/relaysessioncopies.cpp
+++ b/src/daemon/relaysessioncopies.cpp
@@ -46,7 +46,7 @@
         if (!*alive)
             return;
         dropReservation(move);
-        if (result.status.ok() && m_services.bindings.readIsLeaving(result.response))
+        if (result.response.head.status != 0 && m_services.bindings.readIsLeaving(result.response))
             m_services.targets.applyLeavingNotice({source, startedAt});
         m_services.metrics.count("currantwalk_copies_total",
                                  {{"result", result.status.ok() ? "answered" : "lost"}});
--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -287,7 +287,9 @@
     };
     bindings.writeDropCopy = [](const std::string &) { return HttpRequest{"DELETE", "/", {}, {}}; };
     bindings.writeReportCall = [] { return HttpRequest{"GET", "/report", {}, {}}; };
-    bindings.readIsLeaving = [](const HttpResponse &) { return false; };
+    bindings.readIsLeaving = [](const HttpResponse &response) {
+        return findHeader(response.head.headers, "leaving").has_value();
+    };
     bindings.readinessPath = "/ready";
     bindings.catalogTopic = store.topic(CatalogTopic, host);
     bindings.targetsTopic = store.topic(TargetsTopic, host);
--- a/src/daemon/tests/targetanswerstest.cpp
+++ b/src/daemon/tests/targetanswerstest.cpp
@@ -222,6 +222,39 @@
     checkHoldOffs();
 }
 
+// While the store is away, nodes ask the targets of their streams for reports.
+TEST(TargetAnswers, targetsThatTurnAReportAwayAreNotAskedForTheTimeTheyTold)
+{
+    build();
+    for (std::size_t i = 0; i < FirstPlain; ++i)
+        fleet->servers[i]->options.events = 200;
+    for (int i = 0; i < 42; ++i)
+        fleet->request(i % 7, "POST", "/stream/x", "body " + std::to_string(i), fleet->innocents);
+    fleet->run(2s);
+    for (std::size_t i = 0; i < FirstPlain; ++i) {
+        fleet->servers[i]->options.turnAwayShare = 1;
+        fleet->servers[i]->options.holdOff = 3s;
+    }
+    fleet->setStoreUp(false);
+    fleet->run(10s);
+    checkHoldOffs();
+}
+
+TEST(TargetAnswers, targetsThatSayInAReportThatTheyLeaveAreAskedNoMore)
+{
+    build();
+    for (std::size_t i = 0; i < FirstPlain; ++i)
+        fleet->servers[i]->options.events = 200;
+    for (int i = 0; i < 42; ++i)
+        fleet->request(i % 7, "POST", "/stream/x", "body " + std::to_string(i), fleet->innocents);
+    fleet->run(2s);
+    for (std::size_t i = 0; i < FirstPlain; ++i)
+        fleet->servers[i]->options.leavingShare = 1;
+    fleet->setStoreUp(false);
+    fleet->run(10s);
+    checkLeaving();
+}
+
 // All callers come back when the time is over.
 TEST(TargetAnswers, targetsThatTakeWorkAgainGetOneRequestOfEachNodeFirst)
 {
--- a/src/net/fetcher.cpp
+++ b/src/net/fetcher.cpp
@@ -32,6 +32,7 @@
     Fetch *fetch = owned.get();
     m_fetches.emplace(id, std::move(owned));
     fetch->callback = std::move(callback);
+    fetch->result.response.head.status = 0;
     fetch->timer = m_timers.scheduleAfter(timeout, [this, id] {
         end(id, makeError(ErrorCode::DeadlineExceeded, "no whole answer in time"));
     });
--- a/src/net/fetcher.h
+++ b/src/net/fetcher.h
@@ -16,7 +16,9 @@
 struct FetchResult
 {
     absl::Status status;
-    HttpResponse response; ///< Where status is ok(); any HTTP status counts as such.
+    /// Whole where status is ok(), whatever its HTTP status; else what has arrived, with the HTTP
+    /// status 0 if the head has not.
+    HttpResponse response;
     SendProgress progress = SendProgress::NothingSent;
 };
 
