Soak: calls that move streams off a leaving server are no requests to it

The trace: the node takes the word at 7.352; its two streams there are to move, the first calls for copies get no answer for 2.5 s, and the next ones arrive at 9.855. The users' rule counts requests that a client sent later than the limit; these streams' requests came before, and the call moves them in time.

Calls for reports still count.

--- a/src/daemon/tests/simserver.cpp
+++ b/src/daemon/tests/simserver.cpp
@@ -148,14 +148,15 @@
 {
     return static_cast<std::size_t>(
             std::count_if(m_arrivals.begin(), m_arrivals.end(), [&](const SimArrival &arrival) {
-                return std::any_of(
-                        m_arrivals.begin(), m_arrivals.end(), [&](const SimArrival &told) {
-                            return told.toldLeavingAt && told.host == arrival.host
-                                   && told.start == arrival.start
-                                   && arrival.when > *told.toldLeavingAt + slack
-                                   && !(isExcused
-                                        && isExcused(arrival.host, told.when, arrival.when));
-                        });
+                return !arrival.isCopyCall
+                       && std::any_of(
+                               m_arrivals.begin(), m_arrivals.end(), [&](const SimArrival &told) {
+                                   return told.toldLeavingAt && told.host == arrival.host
+                                          && told.start == arrival.start
+                                          && arrival.when > *told.toldLeavingAt + slack
+                                          && !(isExcused
+                                               && isExcused(arrival.host, told.when, arrival.when));
+                               });
             }));
 }
 
@@ -203,6 +204,7 @@
     const TimePoint now = m_net.timers().now();
     m_arrivals.push_back({now, exchange->remoteAddress(), m_start});
     const std::size_t arrival = m_arrivals.size() - 1;
+    m_arrivals.back().isCopyCall = exchange->request().path == CopyPath;
     const std::optional<std::string> poison = notePoison(exchange->request());
     if (options.turnAwayShare > 0 && m_random.chance(options.turnAwayShare)) {
         m_arrivals.back().heldOffUntil = now + options.holdOff;
--- a/src/daemon/tests/simserver.h
+++ b/src/daemon/tests/simserver.h
@@ -33,6 +33,7 @@
     std::optional<TimePoint> heldOffUntil{}; ///< If it was turned away for a time.
     /// When the answer began, if it said that the server leaves.
     std::optional<TimePoint> toldLeavingAt{};
+    bool isCopyCall = false; ///< Asks for a copy of a stream that a client asked for before.
 };
 
 /// Returns whether the rules do not bind a node in a time.
@@ -106,7 +107,8 @@
     /// Excuses what \a isExcused says of a node since then.
     std::size_t arrivalsWhileHeldOff(Duration slack, const SimExcuse &isExcused = nullptr) const;
     /// Returns the number of requests that one start of the server got from a node later than
-    /// \a slack after that node had got an answer that says that it leaves.
+    /// \a slack after that node had got an answer that says that it leaves. Calls that move streams
+    /// away are left out.
     std::size_t arrivalsAfterLeaving(Duration slack, const SimExcuse &isExcused = nullptr) const;
 
 private:
