Too few counts of answers ask for more crashes before a feature is refused

A node that has counted for under 10 s gives no count, and where not more than half of the nodes asked give one, five events are needed instead of three, the number after which the users' bound begins.

Tried and taken back: to clear a refused feature once a node's evidence gives its deaths to another one.

--- a/src/blame/crashevidence.cpp
+++ b/src/blame/crashevidence.cpp
@@ -237,6 +237,7 @@
         if (isBlamed) {
             Verdict &verdict = verdicts.emplace_back();
             verdict.feature = *chosen->feature;
+            verdict.events = events;
             for (const Crash *crash : chosen->crashes)
                 verdict.crashes.push_back(crash->crash);
         }
--- a/src/blame/crashevidence.h
+++ b/src/blame/crashevidence.h
@@ -39,6 +39,8 @@
 public:
     /// Events that blame a feature; crashes at about the same time are one event.
     static constexpr std::size_t MinEvents = 3;
+    /// The same, where too few nodes have told how many requests they have answered.
+    static constexpr std::size_t MinEventsUncounted = 5;
     /// More answers for each event show that the feature does not crash targets.
     static constexpr double MaxAnswersPerEvent = 4;
     static constexpr Duration Lifetime = std::chrono::minutes(10);
@@ -47,6 +49,7 @@
     {
         RequestFeature feature;
         std::vector<TargetCrash> crashes;
+        std::size_t events = 0;
     };
 
     /// Records a request that a target had not begun to answer when it crashed. The features are
--- a/src/blame/poisontracker.cpp
+++ b/src/blame/poisontracker.cpp
@@ -32,7 +32,7 @@
 // The nodes that lost requests at a target tell of them within this time.
 static constexpr Duration VerdictDelay = std::chrono::milliseconds(20);
 // Counts of other nodes are asked for again after this.
-static constexpr Duration CountsLifetime = std::chrono::seconds(5);
+static constexpr Duration CountsLifetime = std::chrono::seconds(2);
 // A target that has not sent anything for this long is taken for silent.
 static constexpr Duration SilencePeriod = std::chrono::seconds(1);
 // What a target has sent before its death may arrive this much later.
@@ -87,6 +87,13 @@
     bool isAnswerCounted = false;
 };
 
+/// How many requests with a feature all nodes have answered was asked for.
+struct AnswerCount
+{
+    std::optional<TimePoint> at; ///< Nothing while it is awaited.
+    bool isKnown = false;        ///< Whether enough nodes have told.
+};
+
 /// A time during which one start of a target is known to have been alive.
 struct Lifetime
 {
@@ -98,7 +105,10 @@
 class PoisonTable : public PoisonTracker
 {
 public:
-    PoisonTable(TimerService &timers, Hooks hooks) : m_timers(timers), m_hooks(std::move(hooks)) {}
+    PoisonTable(TimerService &timers, Hooks hooks)
+        : m_timers(timers), m_hooks(std::move(hooks)), m_createdAt(timers.now())
+    {
+    }
     ~PoisonTable() override { m_timers.cancel(m_verdictTimer); }
     PoisonTable(const PoisonTable &) = delete;
     PoisonTable &operator=(const PoisonTable &) = delete;
@@ -114,7 +124,8 @@
     void setFeatures(std::uint64_t fingerprint, const TargetId &target,
                      std::vector<RequestFeature> features) override;
     std::uint64_t answersHere(std::uint64_t feature) override;
-    void onAnswersOfAll(const std::vector<FeatureAnswers> &answers) override;
+    Duration countingTime() const override { return m_timers.now() - m_createdAt; }
+    void onAnswersOfAll(const std::vector<FeatureAnswers> &answers, bool isKnown) override;
     void onAbandoned(std::uint64_t fingerprint, const TargetId &target) override;
     void onReleased(std::uint64_t fingerprint, const TargetId &target, bool isComplete) override;
     void onLost(std::uint64_t fingerprint, const TargetId &target,
@@ -159,6 +170,7 @@
 
     TimerService &m_timers;
     const Hooks m_hooks;
+    const TimePoint m_createdAt;
     std::unordered_map<std::uint64_t, Record> m_records;
     std::unordered_map<std::uint64_t, TimePoint> m_clearedAt;
     std::unordered_map<TargetId, std::vector<Run>> m_runs;
@@ -170,8 +182,8 @@
     /// Features of requests that this node lost when a target crashed. Nodes that saw no crash
     /// leave the verdict to others.
     std::unordered_set<std::uint64_t> m_featuresSeen;
-    /// When the answers of all nodes were asked for, by feature; nothing while they are awaited.
-    std::unordered_map<std::uint64_t, std::optional<TimePoint>> m_countedAt;
+    /// By feature.
+    std::unordered_map<std::uint64_t, AnswerCount> m_answerCounts;
     TimerId m_verdictTimer = NoTimer;
     TimePoint m_nextRemovalAt{};
     std::optional<TimePoint> m_lastTickAt;
@@ -628,31 +640,37 @@
         const std::uint64_t feature = verdict.feature.fingerprint;
         if (!m_featuresSeen.contains(feature))
             continue;
-        const auto counted = m_countedAt.find(feature);
-        const bool isAsked = counted != m_countedAt.end();
-        const bool isCounted =
-                isAsked && counted->second && now - *counted->second < CountsLifetime;
-        if (!m_hooks.countAnswers || isCounted || suspicion(feature) == Suspicion::Refused)
+        if (suspicion(feature) == Suspicion::Refused || !m_hooks.countAnswers) {
             recordVerdict(verdict);
-        else if (!isAsked || counted->second)
+            continue;
+        }
+        const auto known = m_answerCounts.find(feature);
+        const AnswerCount count =
+                known == m_answerCounts.end() ? AnswerCount{TimePoint::min()} : known->second;
+        if (!count.at)
+            continue;
+        const bool isRecent = known != m_answerCounts.end() && now - *count.at < CountsLifetime;
+        if (!isRecent)
             uncounted.push_back(feature);
+        else if (count.isKnown || verdict.events >= CrashEvidence::MinEventsUncounted)
+            recordVerdict(verdict);
     }
     if (uncounted.empty())
         return;
-    if (m_countedAt.size() >= MaxFeaturesSeen)
-        m_countedAt.clear();
+    if (m_answerCounts.size() >= MaxFeaturesSeen)
+        m_answerCounts.clear();
     for (const std::uint64_t feature : uncounted)
-        m_countedAt[feature] = std::nullopt;
+        m_answerCounts[feature] = {};
     m_hooks.countAnswers(uncounted);
 }
 
 // The counts of all nodes may speak for another feature.
-void PoisonTable::onAnswersOfAll(const std::vector<FeatureAnswers> &answers)
+void PoisonTable::onAnswersOfAll(const std::vector<FeatureAnswers> &answers, bool isKnown)
 {
     const TimePoint now = m_timers.now();
     for (const FeatureAnswers &each : answers) {
         m_evidence.setAnswersOfAll(each.feature, each.answers, now);
-        m_countedAt[each.feature] = now;
+        m_answerCounts[each.feature] = {now, isKnown};
     }
     reachVerdicts();
 }
--- a/src/blame/poisontracker.h
+++ b/src/blame/poisontracker.h
@@ -134,8 +134,11 @@
                              std::vector<RequestFeature> features) = 0;
     /// Returns the number of requests with the feature that were answered here lately.
     virtual std::uint64_t answersHere(std::uint64_t feature) = 0;
-    /// Called with how many requests with each feature all nodes have answered lately.
-    virtual void onAnswersOfAll(const std::vector<FeatureAnswers> &answers) = 0;
+    /// Returns for how long answers have been counted here.
+    virtual Duration countingTime() const = 0;
+    /// Called with how many requests with each feature all nodes have answered lately, and whether
+    /// enough of them have told.
+    virtual void onAnswersOfAll(const std::vector<FeatureAnswers> &answers, bool isKnown) = 0;
     /// Called when the node gave up waiting for the target's answer. If the target was silent and
     /// turns out to have died, it counts as a death.
     virtual void onAbandoned(std::uint64_t fingerprint, const TargetId &target) = 0;
--- a/src/daemon/answerpoll.cpp
+++ b/src/daemon/answerpoll.cpp
@@ -12,6 +12,7 @@
 // Bounds what a peer may state, so that sums do not overflow.
 static constexpr std::uint64_t MaxCount = 1'000'000'000;
 static constexpr Json::ArrayIndex MaxFeatures = 64;
+static constexpr Duration MinCountingTime = std::chrono::seconds(10);
 // Requests that crash their targets keep arriving while the counts are awaited.
 static constexpr Duration Timeout = std::chrono::milliseconds(150);
 
@@ -40,7 +41,9 @@
             counts.append(
                     Json::UInt64(isValid ? m_tracker.answersHere(features[i].asUInt64()) : 0));
         }
-        responder(counts);
+        // What a node has counted since it started a moment ago says nothing.
+        const bool isUsable = m_tracker.countingTime() >= MinCountingTime;
+        responder(isUsable ? counts : Json::Value());
     });
 }
 
@@ -57,6 +60,7 @@
             peers.push_back(peer.peers);
     }
     poll.awaited = std::min(peers.size(), MaxAsked);
+    poll.asked = poll.awaited;
     poll.timer = m_timers.scheduleAfter(poll.awaited == 0 ? Duration::zero() : Timeout,
                                         [this, number] { finish(number); });
     Json::Value message(Json::objectValue);
@@ -98,17 +102,21 @@
     const Poll poll = std::move(known->second);
     m_polls.erase(known);
     m_timers.cancel(poll.timer);
+    const std::uint64_t own = m_tracker.countingTime() >= MinCountingTime ? 1 : 0;
+    const std::uint64_t told = poll.replies + own;
+    const bool isKnown = 2 * told > poll.asked;
     std::vector<PoisonTracker::FeatureAnswers> answers;
     for (std::size_t i = 0; i < poll.features.size(); ++i) {
         const std::uint64_t sum = poll.answers[i] + m_tracker.answersHere(poll.features[i]);
-        const std::uint64_t ofAll = sum * m_nodes.size() / (poll.replies + 1);
+        const std::uint64_t ofAll = sum * m_nodes.size() / std::max<std::uint64_t>(told, 1);
         answers.push_back({poll.features[i], ofAll});
         logLine(LogPart::Poison, LogLevel::Info,
                 "About " + std::to_string(ofAll) + " requests with the suspected feature "
                         + fingerprintText(poll.features[i]) + " were answered lately; "
-                        + std::to_string(poll.replies) + " nodes replied.");
+                        + std::to_string(told) + " of " + std::to_string(poll.asked + 1)
+                        + " nodes have counted.");
     }
-    m_tracker.onAnswersOfAll(answers);
+    m_tracker.onAnswersOfAll(answers, isKnown);
 }
 
 } // namespace currantwalk
--- a/src/daemon/answerpoll.h
+++ b/src/daemon/answerpoll.h
@@ -35,6 +35,7 @@
     {
         std::vector<std::uint64_t> features;
         std::vector<std::uint64_t> answers; ///< Of those that replied, by feature.
+        std::size_t asked = 0;              ///< Nodes, without this one.
         std::size_t awaited = 0;
         std::uint64_t replies = 0;
         TimerId timer = NoTimer;
