What targets say in answers to calls about copies counts

EntryNode::noteCallAnswer takes what an answer to a call says of its target, for reports and copies alike: the time for which it wants nothing, and that it leaves.

--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -249,6 +249,9 @@
             [this] { return !m_drain->isReady(); },
             [this] { m_loads.onChange(); },
             [this](std::function<void()> done) { m_loads.refresh(std::move(done)); },
+            [this](const TargetId &id, Incarnation startedAt, const HttpResponse &response) {
+                noteCallAnswer(id, startedAt, response);
+            },
             *m_poison,
             m_metrics};
 }
--- a/src/daemon/entrynode.h
+++ b/src/daemon/entrynode.h
@@ -78,7 +78,7 @@
     void onServed(const TargetId &target, SendResult service);
     void askTargets();
     void askTarget(const ServiceTarget &target);
-    void noteTurnedAway(const TargetId &id, Incarnation startedAt, const HttpResponseHead &head);
+    void noteCallAnswer(const TargetId &id, Incarnation startedAt, const HttpResponse &response);
     void onTargetLeaving(const ServiceTarget &target);
     void takeCatalog(const KeyedRecord &record);
     void takeCatalogText(const std::string &text, CatalogSource source);
--- a/src/daemon/entrynodestore.cpp
+++ b/src/daemon/entrynodestore.cpp
@@ -367,18 +367,26 @@
     }
 }
 
-// A target that turns a call for its report away wants nothing else either.
-void EntryNode::noteTurnedAway(const TargetId &id, Incarnation startedAt,
-                               const HttpResponseHead &head)
+// A target that turns a call away wants nothing else either. What the head of an answer says holds
+// also where its body never ends.
+void EntryNode::noteCallAnswer(const TargetId &id, Incarnation startedAt,
+                               const HttpResponse &response)
 {
-    const RelayAnswerHead answer = m_bindings.readAnswerHead(head, RequestId());
-    if (answer.status != 503 || answer.retryAfter <= Duration::zero())
+    if (response.head.status == 0)
         return;
-    m_holdOffs.onTurnedAway(id, startedAt, answer.retryAfter, m_loop.timers().now());
-    const auto period = std::chrono::duration_cast<std::chrono::milliseconds>(answer.retryAfter);
-    logLine(LogPart::Targets, LogLevel::Info,
-            "Target " + id.text() + " turned a call for its report away and wants nothing for "
-                    + std::to_string(period.count()) + " ms.");
+    const RelayAnswerHead answer = m_bindings.readAnswerHead(response.head, RequestId());
+    if (answer.status == 503 && answer.retryAfter > Duration::zero()) {
+        m_holdOffs.onTurnedAway(id, startedAt, answer.retryAfter, m_loop.timers().now());
+        const auto period =
+                std::chrono::duration_cast<std::chrono::milliseconds>(answer.retryAfter);
+        logLine(LogPart::Targets, LogLevel::Info,
+                "Target " + id.text() + " turned a call away and wants nothing for "
+                        + std::to_string(period.count()) + " ms.");
+    }
+    if (!m_bindings.readIsLeaving(response))
+        return;
+    logLine(LogPart::Targets, LogLevel::Info, "Target " + id.text() + " says that it is leaving.");
+    m_targets.applyLeavingNotice({id, startedAt});
 }
 
 void EntryNode::askTarget(const ServiceTarget &target)
@@ -389,15 +397,7 @@
     m_fetcher.fetch(
             options, m_bindings.writeReportCall(), ReportTimeout,
             [this, id = target.id, startedAt = target.entry.startedAt](const FetchResult &result) {
-                // What the head says holds also where the body never ends.
-                if (result.response.head.status == 0)
-                    return;
-                noteTurnedAway(id, startedAt, result.response.head);
-                if (!m_bindings.readIsLeaving(result.response))
-                    return;
-                logLine(LogPart::Targets, LogLevel::Info,
-                        "Target " + id.text() + " says that it is leaving.");
-                m_targets.markLeaving(id);
+                noteCallAnswer(id, startedAt, result.response);
             });
 }
 
--- a/src/daemon/relaysession.h
+++ b/src/daemon/relaysession.h
@@ -48,6 +48,9 @@
     std::function<void()> loadsChanged;
     /// Calls \a done when the loads of other nodes are known as well as they can be soon.
     std::function<void(std::function<void()> done)> refreshLoads;
+    /// Takes what a target says of itself in its answer to a call about copies.
+    std::function<void(const TargetId &target, Incarnation startedAt, const HttpResponse &response)>
+            noteCallAnswer;
     PoisonTracker &poison;
     Metrics &metrics;
 };
--- a/src/daemon/relaysessioncopies.cpp
+++ b/src/daemon/relaysessioncopies.cpp
@@ -46,8 +46,7 @@
         if (!*alive)
             return;
         dropReservation(move);
-        if (result.response.head.status != 0 && m_services.bindings.readIsLeaving(result.response))
-            m_services.targets.applyLeavingNotice({source, startedAt});
+        m_services.noteCallAnswer(source, startedAt, result.response);
         m_services.metrics.count("currantwalk_copies_total",
                                  {{"result", result.status.ok() ? "answered" : "lost"}});
         const absl::StatusOr<std::string> handle =
--- a/src/daemon/tests/targetanswerstest.cpp
+++ b/src/daemon/tests/targetanswerstest.cpp
@@ -240,6 +240,35 @@
     checkHoldOffs();
 }
 
+// Streams move off targets that turn the calls for their copies away; some have no event at first.
+TEST(TargetAnswers, targetsThatTurnCallsForCopiesAwayAreNotAskedForTheTimeTheyTold)
+{
+    build();
+    const auto sendStreams = [this](int streams) {
+        for (int i = 0; i < streams; ++i)
+            fleet->request(i % 7, "POST", "/stream/x", "body " + std::to_string(streams + i),
+                           fleet->innocents);
+    };
+    for (std::size_t i = 0; i < FirstPlain; ++i) {
+        fleet->servers[i]->options.events = 200;
+        fleet->servers[i]->options.slots = 100;
+    }
+    sendStreams(60);
+    fleet->run(1s);
+    for (std::size_t i = 0; i < FirstPlain; ++i)
+        fleet->servers[i]->options.work = 1500ms;
+    sendStreams(140);
+    fleet->run(100ms);
+    for (const std::size_t i : {0, 1, 2, 3}) {
+        fleet->servers[i]->options.turnAwayShare = 1;
+        fleet->servers[i]->options.holdOff = 4s;
+        fleet->servers[i]->options.leavingTime = 6s;
+        fleet->servers[i]->leave();
+    }
+    fleet->run(10s);
+    checkHoldOffs();
+}
+
 TEST(TargetAnswers, targetsThatSayInAReportThatTheyLeaveAreAskedNoMore)
 {
     build();
