--- a/src/blame/poisontracker.cpp
+++ b/src/blame/poisontracker.cpp
@@ -4,13 +4,11 @@
 #include <array>
 #include <cstddef>
 #include <iterator>
-#include <optional>
 #include <tuple>
-#include <unordered_map>
-#include <unordered_set>
 #include <utility>
 
 #include "base/enumtable.h"
+#include "blame/poisontable.h"
 
 namespace currantwalk {
 
@@ -29,10 +27,6 @@
         static_cast<std::uint32_t>(CrashEvidence::MinEvents) * DeathWeight;
 // A target that crashes as it begins to answer may still send a first part.
 static constexpr Duration MinAnswerTime = std::chrono::milliseconds(250);
-// The nodes that lost requests at a target tell of them within this time.
-static constexpr Duration VerdictDelay = std::chrono::milliseconds(20);
-// Counts of other nodes are asked for again after this.
-static constexpr Duration CountsLifetime = std::chrono::seconds(2);
 // A target that has not sent anything for this long is taken for silent.
 static constexpr Duration SilencePeriod = std::chrono::seconds(1);
 // What a target has sent before its death may arrive this much later.
@@ -51,153 +45,6 @@
 static constexpr std::size_t MaxEntries = 10000;
 static constexpr std::size_t MaxClearings = 1000;
 static constexpr std::size_t MaxReportsPerDeath = 32;
-static constexpr std::size_t MaxFeaturesSeen = 1000;
-
-namespace {
-
-struct Death
-{
-    TargetId target;
-    Incarnation incarnation = 0;
-    bool hasStarted = false;
-    bool wasAnswering = false;
-    TimePoint at{};
-};
-
-struct Record
-{
-    std::vector<Death> deaths; ///< At least one.
-    TimePoint lastDeathAt = TimePoint::min();
-    std::string subject;
-    std::vector<RequestFeature> features;
-    bool isOfFeature = false;
-};
-
-struct Run
-{
-    std::uint64_t fingerprint = 0;
-    Incarnation incarnation = 0;
-    bool hasStarted = false;
-    TimePoint startedAt{};
-    std::optional<TimePoint> answeringSince;
-    std::optional<TimePoint> lastPartAt;  ///< Of the answer.
-    std::optional<TimePoint> abandonedAt; ///< Set if the node gave up waiting for the answer.
-    std::string subject;
-    std::vector<RequestFeature> features;
-    bool isAnswerCounted = false;
-};
-
-/// How many requests with a feature all nodes have answered was asked for.
-struct AnswerCount
-{
-    std::optional<TimePoint> at; ///< Nothing while it is awaited.
-    bool isKnown = false;        ///< Whether enough nodes have told.
-};
-
-/// A time during which one start of a target is known to have been alive.
-struct Lifetime
-{
-    Incarnation incarnation = 0;
-    TimePoint from{};
-    TimePoint until{};
-};
-
-class PoisonTable : public PoisonTracker
-{
-public:
-    PoisonTable(TimerService &timers, Hooks hooks)
-        : m_timers(timers), m_hooks(std::move(hooks)), m_createdAt(timers.now())
-    {
-    }
-    ~PoisonTable() override { m_timers.cancel(m_verdictTimer); }
-    PoisonTable(const PoisonTable &) = delete;
-    PoisonTable &operator=(const PoisonTable &) = delete;
-
-    Suspicion suspicion(std::uint64_t fingerprint) const override;
-    void onSent(std::uint64_t fingerprint, const TargetId &target,
-                Incarnation incarnation) override;
-    void onRunning(std::uint64_t fingerprint, const TargetId &target,
-                   Incarnation incarnation) override;
-    void onAnswering(std::uint64_t fingerprint, const TargetId &target) override;
-    void setSubject(std::uint64_t fingerprint, const TargetId &target,
-                    std::string subject) override;
-    void setFeatures(std::uint64_t fingerprint, const TargetId &target,
-                     std::vector<RequestFeature> features) override;
-    std::uint64_t answersHere(std::uint64_t feature) override;
-    Duration countingTime() const override { return m_timers.now() - m_createdAt; }
-    void onAnswersOfAll(const std::vector<FeatureAnswers> &answers, bool isKnown) override;
-    void onAbandoned(std::uint64_t fingerprint, const TargetId &target) override;
-    void onReleased(std::uint64_t fingerprint, const TargetId &target, bool isComplete) override;
-    void onLost(std::uint64_t fingerprint, const TargetId &target,
-                Incarnation incarnation) override;
-    void onTargetDied(const TargetId &target, Incarnation incarnation) override;
-    void onTargetVanished(const TargetId &target) override;
-    bool onReport(const PoisonReport &report) override;
-    void clear(std::uint64_t fingerprint) override { onClearing({fingerprint, Duration::zero()}); }
-    bool onClearing(const PoisonClearing &clearing) override;
-    bool onLifetime(const TargetLifetime &report) override;
-    void onTick() override;
-    std::vector<Entry> entries() const override;
-    std::vector<PoisonReport> reports(std::size_t maxRequests) const override;
-    std::vector<PoisonReport> reportsOf(std::uint64_t fingerprint) const override;
-    std::vector<PoisonClearing> clearings() const override;
-
-private:
-    bool isExpired(const Record &record) const;
-    TimePoint observedAt() const;
-    void extendLifetime(const TargetId &target, const Lifetime &seen);
-    bool isAliveAfter(const Death &death) const;
-    bool withdrawDeaths(const TargetId &target);
-    bool isSilent(const Run &run) const;
-    bool wasAnswering(const Run &run) const;
-    void recordDeaths(const TargetId &target, const std::vector<Run> &runs,
-                      Duration noticedAfter = Duration::zero());
-    void removeOutdated();
-    PoisonReport reportOf(const Run &run, const TargetId &target, std::size_t running) const;
-    bool recordDeath(const PoisonReport &report);
-    void recordOwnDeath(const PoisonReport &report, bool isTold);
-    void addEvidence(const PoisonReport &report);
-    void countAnswer(Run &run);
-    void reachVerdicts();
-    void recordVerdict(const CrashEvidence::Verdict &verdict);
-    bool isExplained(const PoisonReport &report) const;
-    void removeExplained(const Death &death, std::uint64_t feature);
-    void evictRecords();
-    void evictClearings();
-    Run *findRun(std::uint64_t fingerprint, const TargetId &target);
-    Run &findOrAddRun(std::uint64_t fingerprint, const TargetId &target);
-    std::vector<Run> takeRuns(const TargetId &target, Incarnation incarnation);
-
-    TimerService &m_timers;
-    const Hooks m_hooks;
-    const TimePoint m_createdAt;
-    std::unordered_map<std::uint64_t, Record> m_records;
-    std::unordered_map<std::uint64_t, TimePoint> m_clearedAt;
-    std::unordered_map<TargetId, std::vector<Run>> m_runs;
-    std::unordered_map<TargetId, TimePoint> m_vanishedAt;
-    std::unordered_map<TargetId, Lifetime> m_lifetimes;
-    std::unordered_set<TargetId> m_blamedTargets;       ///< Those of which a death is recorded.
-    std::unordered_set<std::uint64_t> m_blamedFeatures; ///< Those that have a record.
-    CrashEvidence m_evidence;
-    /// Features of requests that this node lost when a target crashed. Nodes that saw no crash
-    /// leave the verdict to others.
-    std::unordered_set<std::uint64_t> m_featuresSeen;
-    /// By feature.
-    std::unordered_map<std::uint64_t, AnswerCount> m_answerCounts;
-    TimerId m_verdictTimer = NoTimer;
-    TimePoint m_nextRemovalAt{};
-    std::optional<TimePoint> m_lastTickAt;
-    std::optional<TimePoint> m_tickBeforeAt;
-};
-
-} // namespace
-
-static bool hasFeature(const std::vector<RequestFeature> &features, std::uint64_t fingerprint)
-{
-    return std::any_of(features.begin(), features.end(), [fingerprint](const RequestFeature &each) {
-        return each.fingerprint == fingerprint;
-    });
-}
 
 // A send that is lost because the target was down already looks the same as a crash. So at least
 // one of the deaths must follow a confirmation that the target was alive; suspects are sent only to
@@ -455,24 +302,6 @@
     run->subject = std::move(subject);
 }
 
-void PoisonTable::setFeatures(std::uint64_t fingerprint, const TargetId &target,
-                              std::vector<RequestFeature> features)
-{
-    if (Run *const run = findRun(fingerprint, target))
-        run->features = std::move(features);
-}
-
-void PoisonTable::countAnswer(Run &run)
-{
-    if (!std::exchange(run.isAnswerCounted, true))
-        m_evidence.addAnswer(run.features, m_timers.now());
-}
-
-std::uint64_t PoisonTable::answersHere(std::uint64_t feature)
-{
-    return m_evidence.answersHere(feature, m_timers.now());
-}
-
 bool PoisonTable::wasAnswering(const Run &run) const
 {
     return run.answeringSince && *run.lastPartAt - *run.answeringSince >= EarlyPeriod;
@@ -598,127 +427,6 @@
     }
 }
 
-void PoisonTable::recordOwnDeath(const PoisonReport &report, bool isTold)
-{
-    if (m_featuresSeen.size() >= MaxFeaturesSeen)
-        m_featuresSeen.clear();
-    for (const RequestFeature &feature : report.features)
-        m_featuresSeen.insert(feature.fingerprint);
-    addEvidence(report);
-    if (recordDeath(report) && isTold)
-        m_hooks.onDeath(report);
-}
-
-bool PoisonTable::onReport(const PoisonReport &report)
-{
-    addEvidence(report);
-    return recordDeath(report);
-}
-
-// A request that completes later has still been at a target that crashed.
-void PoisonTable::addEvidence(const PoisonReport &report)
-{
-    const bool isWitness = !report.isOfFeature && report.hasStarted && !report.features.empty();
-    const Death death{report.target, report.incarnation, true, false, m_timers.now() - report.age};
-    if (!isWitness || report.age >= CrashEvidence::Lifetime || isAliveAfter(death))
-        return;
-    m_evidence.addWitness({death.target, death.incarnation, death.at - report.noticedAfter},
-                          report.fingerprint, report.features);
-    m_blamedTargets.insert(report.target);
-    if (m_verdictTimer == NoTimer)
-        m_verdictTimer = m_timers.scheduleAfter(VerdictDelay, [this] {
-            m_verdictTimer = NoTimer;
-            reachVerdicts();
-        });
-}
-
-void PoisonTable::reachVerdicts()
-{
-    const TimePoint now = m_timers.now();
-    std::vector<std::uint64_t> uncounted;
-    for (const CrashEvidence::Verdict &verdict : m_evidence.verdicts(now)) {
-        const std::uint64_t feature = verdict.feature.fingerprint;
-        if (!m_featuresSeen.contains(feature))
-            continue;
-        if (suspicion(feature) == Suspicion::Refused || !m_hooks.countAnswers) {
-            recordVerdict(verdict);
-            continue;
-        }
-        const auto known = m_answerCounts.find(feature);
-        const AnswerCount count =
-                known == m_answerCounts.end() ? AnswerCount{TimePoint::min()} : known->second;
-        if (!count.at)
-            continue;
-        const bool isRecent = known != m_answerCounts.end() && now - *count.at < CountsLifetime;
-        if (!isRecent)
-            uncounted.push_back(feature);
-        else if (count.isKnown || verdict.events >= CrashEvidence::MinEventsUncounted)
-            recordVerdict(verdict);
-    }
-    if (uncounted.empty())
-        return;
-    if (m_answerCounts.size() >= MaxFeaturesSeen)
-        m_answerCounts.clear();
-    for (const std::uint64_t feature : uncounted)
-        m_answerCounts[feature] = {};
-    m_hooks.countAnswers(uncounted);
-}
-
-// The counts of all nodes may speak for another feature.
-void PoisonTable::onAnswersOfAll(const std::vector<FeatureAnswers> &answers, bool isKnown)
-{
-    const TimePoint now = m_timers.now();
-    for (const FeatureAnswers &each : answers) {
-        m_evidence.setAnswersOfAll(each.feature, each.answers, now);
-        m_answerCounts[each.feature] = {now, isKnown};
-    }
-    reachVerdicts();
-}
-
-void PoisonTable::recordVerdict(const CrashEvidence::Verdict &verdict)
-{
-    for (const TargetCrash &crash : verdict.crashes) {
-        PoisonReport report;
-        report.fingerprint = verdict.feature.fingerprint;
-        report.target = crash.target;
-        report.incarnation = crash.incarnation;
-        report.subject = verdict.feature.subject;
-        report.age = m_timers.now() - crash.at;
-        report.isOfFeature = true;
-        if (recordDeath(report))
-            m_hooks.onDeath(report);
-    }
-}
-
-// A crash that is due to a feature speaks against no request without it.
-bool PoisonTable::isExplained(const PoisonReport &report) const
-{
-    if (report.isOfFeature)
-        return false;
-    return std::any_of(m_blamedFeatures.begin(), m_blamedFeatures.end(), [&](std::uint64_t each) {
-        const auto record = m_records.find(each);
-        if (record == m_records.end() || hasFeature(report.features, each))
-            return false;
-        const std::vector<Death> &deaths = record->second.deaths;
-        return std::any_of(deaths.begin(), deaths.end(), [&report](const Death &death) {
-            return death.target == report.target && death.incarnation == report.incarnation;
-        });
-    });
-}
-
-void PoisonTable::removeExplained(const Death &explained, std::uint64_t feature)
-{
-    for (auto it = m_records.begin(); it != m_records.end();) {
-        Record &record = it->second;
-        if (!record.isOfFeature && !hasFeature(record.features, feature))
-            std::erase_if(record.deaths, [&explained](const Death &death) {
-                return death.target == explained.target
-                       && death.incarnation == explained.incarnation;
-            });
-        it = record.deaths.empty() ? m_records.erase(it) : std::next(it);
-    }
-}
-
 // The time of a clearing is kept, as reports of earlier deaths may still be on their way.
 bool PoisonTable::onClearing(const PoisonClearing &clearing)
 {
