Tests: the setup of engines with streams stands once

Two tests of what targets say in answers to calls for reports began with the same eight lines; they are buildWithStreams() now. No check changes.

--- a/src/daemon/tests/targetanswerstest.cpp
+++ b/src/daemon/tests/targetanswerstest.cpp
@@ -32,6 +32,18 @@
         return *fleet;
     }
 
+    /// Each engine gets streams of some seconds, all of which have begun.
+    void buildWithStreams()
+    {
+        build();
+        for (std::size_t i = 0; i < FirstPlain; ++i)
+            fleet->servers[i]->options.events = 200;
+        for (int i = 0; i < 42; ++i)
+            fleet->request(i % 7, "POST", "/stream/x", "body " + std::to_string(i),
+                           fleet->innocents);
+        fleet->run(2s);
+    }
+
     SimServer &plain(std::size_t index)
     {
         return *fleet->servers[FirstPlain + index];
@@ -225,12 +237,7 @@
 // While the store is away, nodes ask the targets of their streams for reports.
 TEST(TargetAnswers, targetsThatTurnAReportAwayAreNotAskedForTheTimeTheyTold)
 {
-    build();
-    for (std::size_t i = 0; i < FirstPlain; ++i)
-        fleet->servers[i]->options.events = 200;
-    for (int i = 0; i < 42; ++i)
-        fleet->request(i % 7, "POST", "/stream/x", "body " + std::to_string(i), fleet->innocents);
-    fleet->run(2s);
+    buildWithStreams();
     for (std::size_t i = 0; i < FirstPlain; ++i) {
         fleet->servers[i]->options.turnAwayShare = 1;
         fleet->servers[i]->options.holdOff = 3s;
@@ -271,12 +278,7 @@
 
 TEST(TargetAnswers, targetsThatSayInAReportThatTheyLeaveAreAskedNoMore)
 {
-    build();
-    for (std::size_t i = 0; i < FirstPlain; ++i)
-        fleet->servers[i]->options.events = 200;
-    for (int i = 0; i < 42; ++i)
-        fleet->request(i % 7, "POST", "/stream/x", "body " + std::to_string(i), fleet->innocents);
-    fleet->run(2s);
+    buildWithStreams();
     for (std::size_t i = 0; i < FirstPlain; ++i)
         fleet->servers[i]->options.leavingShare = 1;
     fleet->setStoreUp(false);
