--- a/src/daemon/tests/simserver.cpp
+++ b/src/daemon/tests/simserver.cpp
@@ -1,6 +1,8 @@
 #include "daemon/tests/simserver.h"
 
 #include <algorithm>
+#include <limits>
+#include <set>
 #include <utility>
 
 #include "base/json.h"
@@ -123,9 +125,72 @@
         head.headers.push_back({"leaving", "1"});
         m_arrivals[arrival].toldLeavingAt = m_net.timers().now();
     }
+    if (!options.limitText.empty()) {
+        head.headers.push_back({"limit", options.limitText});
+    } else if (!m_limits.empty() && m_limits.back().limit) {
+        head.headers.push_back({"limit", std::to_string(*m_limits.back().limit)});
+        m_arrivals[arrival].toldLimitAt = m_net.timers().now();
+    }
     return head;
 }
 
+void SimServer::setLimit(std::optional<double> limit)
+{
+    m_limits.push_back({m_net.timers().now(), limit});
+}
+
+// A limit that was lowered counts once the nodes have had time to notice.
+double SimServer::allowedArrivals(TimePoint from, TimePoint until) const
+{
+    constexpr double Tolerance = 1.5;
+    constexpr double ToleratedArrivals = 5;
+    double highest = 0;
+    for (std::size_t i = 0; i < m_limits.size(); ++i) {
+        const bool hasEnded = i + 1 < m_limits.size() && m_limits[i + 1].when + LimitNotice <= from;
+        if (hasEnded || m_limits[i].when > until)
+            continue;
+        highest = std::max(highest,
+                           m_limits[i].limit.value_or(std::numeric_limits<double>::infinity()));
+    }
+    const double seconds = std::chrono::duration<double>(until - from).count();
+    return Tolerance * highest * seconds + ToleratedArrivals;
+}
+
+double SimServer::arrivalsBeyondLimit(const SimExcuse &isExcused) const
+{
+    constexpr Duration Window = std::chrono::seconds(4);
+    constexpr Duration TellingTime = std::chrono::milliseconds(500);
+    // Of each start, from when on each node is bound.
+    std::map<std::uint64_t, TimePoint> firstNamedAt;
+    std::map<std::pair<std::uint64_t, std::string>, TimePoint> toldAt;
+    for (const SimArrival &each : m_arrivals) {
+        if (!each.toldLimitAt)
+            continue;
+        firstNamedAt.try_emplace(each.start, *each.toldLimitAt);
+        TimePoint &told =
+                toldAt.try_emplace({each.start, each.host}, *each.toldLimitAt).first->second;
+        told = std::min(told, *each.toldLimitAt);
+    }
+    std::vector<const SimArrival *> counted;
+    for (const SimArrival &each : m_arrivals) {
+        const auto told = toldAt.find({each.start, each.host});
+        const bool isBound = told != toldAt.end() && told->second + TellingTime <= each.when
+                             && firstNamedAt.at(each.start) + LimitNotice <= each.when;
+        if (isBound && !(isExcused && isExcused(each.host, each.when, each.when)))
+            counted.push_back(&each);
+    }
+    double worst = 0;
+    for (std::size_t first = 0, last = 0; last < counted.size(); ++last) {
+        while (counted[first]->when + Window < counted[last]->when
+               || counted[first]->start != counted[last]->start)
+            ++first;
+        const TimePoint from = counted[last]->when - Window;
+        const double arrived = static_cast<double>(last - first + 1);
+        worst = std::max(worst, arrived - allowedArrivals(from, counted[last]->when));
+    }
+    return worst;
+}
+
 std::size_t SimServer::arrivalsWhileHeldOff(Duration slack, const SimExcuse &isExcused) const
 {
     std::size_t most = 0;
--- a/src/daemon/tests/simserver.h
+++ b/src/daemon/tests/simserver.h
@@ -34,6 +34,8 @@
     /// When the answer began, if it said that the server leaves.
     std::optional<TimePoint> toldLeavingAt{};
     bool isCopyCall = false; ///< Asks for a copy of a stream that a client asked for before.
+    /// When the answer began, if it named a limit of requests.
+    std::optional<TimePoint> toldLimitAt{};
 };
 
 /// Returns whether the rules do not bind a node in a time.
@@ -88,6 +90,8 @@
         Duration holdOff{0};
         /// Events that a crashing stream gets to write.
         std::uint32_t eventsBeforeCrash = 0;
+        /// Written as the limit into its answers in place of the one that setLimit() has set.
+        std::string limitText;
     };
 
     SimServer(SimNet &net, SimStore &store, SimPoisonLogs &poison, const SimPoisonParts &parts,
@@ -98,6 +102,9 @@
     /// Announces that it leaves, and leaves; another takes its place.
     void leave();
     void resetConnections();
+    /// Names a limit of requests a second, from all nodes together, in its answers from now on;
+    /// nothing: it names none.
+    void setLimit(std::optional<double> limit);
 
     Options options;
     bool isUp() const { return m_isUp; }
@@ -111,7 +118,22 @@
     /// away are left out.
     std::size_t arrivalsAfterLeaving(Duration slack, const SimExcuse &isExcused = nullptr) const;
 
+    /// Returns by how many requests one start of the server got more, in some 4 s, than its limit
+    /// allows, from nodes that it had told of the limit half a second before. Counts from
+    /// LimitNotice after it had first named a limit, or had changed it.
+    double arrivalsBeyondLimit(const SimExcuse &isExcused = nullptr) const;
+    static constexpr Duration LimitNotice = std::chrono::seconds(3);
+
 private:
+    /// What the server names as its limit from a time on.
+    struct LimitChange
+    {
+        TimePoint when{};
+        std::optional<double> limit;
+    };
+
+    double allowedArrivals(TimePoint from, TimePoint until) const;
+
     struct Work
     {
         std::shared_ptr<HttpExchange> exchange;
@@ -146,6 +168,7 @@
     std::uint64_t m_bornAt = 0;
     std::vector<std::shared_ptr<Work>> m_work;
     std::vector<SimArrival> m_arrivals;
+    std::vector<LimitChange> m_limits;
     bool m_isUp = false;
     bool m_isLeaving = false;
 };
