Log the limits that targets name in their answers

An operator could not tell a limit that is not known from one that is known and not kept: no line, no figure. Server-Limit is decoded with the rest of an answer's head; what a target says of itself is noted in one place for requests and for the node's own calls; a line tells each change, a gauge (currantwalk_targets_limited) how many targets name a limit.

A value that can't be read (negative, not a number, 1e400) leaves what is known and is logged once a start; of several the lowest counts. An answer ends a limit only if its request was written after the limit was last stated, as answers overtake one another.

--- a/src/calls/relaycall.h
+++ b/src/calls/relaycall.h
@@ -16,6 +16,7 @@
 #include "base/timerservice.h"
 #include "calls/eventsplitter.h"
 #include "config/servicecatalog.h"
+#include "targets/targetlimits.h"
 
 namespace currantwalk {
 
@@ -47,6 +48,7 @@
     bool isSigned = false;        ///< Carries the target's signature.
     bool isTargetLeaving = false; ///< The target says that it is leaving.
     Duration retryAfter{0};       ///< Given by the target; 0 if it gave none.
+    LimitNotice limit;
 };
 
 /// A copy of a running stream's memory, from which the stream can resume.
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -179,6 +179,7 @@
     m_metrics.set("currantwalk_targets", {}, static_cast<double>(m_targets.size()));
     m_metrics.set("currantwalk_targets_held_off", {},
                   static_cast<double>(m_holdOffs.countHeldOff(now)));
+    m_metrics.set("currantwalk_targets_limited", {}, static_cast<double>(m_limits.named().size()));
     m_metrics.set("currantwalk_targets_leaving", {}, static_cast<double>(m_targets.countLeaving()));
     m_metrics.set("currantwalk_requests_in_progress", {}, static_cast<double>(m_sessions.size()));
     std::map<Suspicion, std::size_t> poisonous{{Suspicion::Suspect, 0}, {Suspicion::Refused, 0}};
@@ -249,8 +250,11 @@
             [this] { return !m_drain->isReady(); },
             [this] { m_loads.onChange(); },
             [this](std::function<void()> done) { m_loads.refresh(std::move(done)); },
-            [this](const TargetId &id, Incarnation startedAt, const HttpResponse &response) {
-                noteCallAnswer(id, startedAt, response);
+            [this](const TargetSendNote &send, const RelayAnswerHead &answer) {
+                noteAnswer(send, answer);
+            },
+            [this](const TargetSendNote &send, const HttpResponse &response) {
+                noteCallAnswer(send, response);
             },
             *m_poison,
             m_metrics};
@@ -512,6 +516,8 @@
     m_poison->onTick();
     m_targets.expire();
     m_holdOffs.expire(m_loop.timers().now());
+    m_limits.expire([this](const TargetId &id) { return m_targets.find(id) != nullptr; },
+                    m_loop.timers().now());
     askTargets();
     m_tickTimer = m_loop.timers().scheduleAfter(TickInterval, [this] { tick(); });
 }
--- a/src/daemon/entrynode.h
+++ b/src/daemon/entrynode.h
@@ -14,6 +14,7 @@
 #include "net/eventloop.h"
 #include "observe/metrics.h"
 #include "targets/outlierdetector.h"
+#include "targets/targetlimits.h"
 
 namespace currantwalk {
 
@@ -78,7 +79,10 @@
     void onServed(const TargetId &target, SendResult service);
     void askTargets();
     void askTarget(const ServiceTarget &target);
-    void noteCallAnswer(const TargetId &id, Incarnation startedAt, const HttpResponse &response);
+    void noteAnswer(const TargetSendNote &send, const RelayAnswerHead &answer);
+    void noteLeaving(const TargetSendNote &send);
+    void noteLimit(const TargetSendNote &send, const LimitNotice &limit);
+    void noteCallAnswer(const TargetSendNote &send, const HttpResponse &response);
     void onTargetLeaving(const ServiceTarget &target);
     void takeCatalog(const KeyedRecord &record);
     void takeCatalogText(const std::string &text, CatalogSource source);
@@ -112,6 +116,7 @@
     bool m_isFetchingCatalog = false;
     ServiceTargets m_targets;
     TargetHoldOffs m_holdOffs;
+    TargetLimits m_limits;
     TargetSelector m_placer;
     OutlierDetector m_outliers;
     std::unique_ptr<PoisonTracker> m_poison;
--- a/src/daemon/entrynodestore.cpp
+++ b/src/daemon/entrynodestore.cpp
@@ -367,26 +367,70 @@
     }
 }
 
-// A target that turns a call away wants nothing else either. What the head of an answer says holds
-// also where its body never ends.
-void EntryNode::noteCallAnswer(const TargetId &id, Incarnation startedAt,
-                               const HttpResponse &response)
+// The one place for what a target says of itself, in whichever kind of answer.
+void EntryNode::noteAnswer(const TargetSendNote &send, const RelayAnswerHead &answer)
 {
-    if (response.head.status == 0)
+    // Another target has the address.
+    if (answer.isTargetReplaced)
+        return;
+    if (answer.isTargetLeaving)
+        noteLeaving(send);
+    noteLimit(send, answer.limit);
+    const TimePoint now = m_loop.timers().now();
+    if (answer.status != 503) {
+        if (!send.isOwnCall)
+            m_holdOffs.onTaken(send.target, send.startedAt, now);
+        return;
+    }
+    if (answer.retryAfter <= Duration::zero())
+        return;
+    m_holdOffs.onTurnedAway(send.target, send.startedAt, answer.retryAfter, now);
+    const ServiceTarget *const known = m_targets.find(send.target);
+    m_metrics.count("currantwalk_hold_offs_total",
+                    {{"service", known ? known->entry.service : std::string()}});
+    const auto period = std::chrono::duration_cast<std::chrono::milliseconds>(answer.retryAfter);
+    logRequest(LogPart::Targets, LogLevel::Info, send.request,
+               "Target " + send.target.text() + " turned a request away and wants nothing for "
+                       + std::to_string(period.count()) + " ms.");
+}
+
+void EntryNode::noteLeaving(const TargetSendNote &send)
+{
+    const ServiceTarget *const known = m_targets.find(send.target);
+    if (known && known->phase != TargetPhase::Leaving) {
+        logRequest(LogPart::Targets, LogLevel::Info, send.request,
+                   "Target " + send.target.text() + " says in its answer that it is leaving.");
+        m_metrics.count("currantwalk_leaving_answers_total");
+    }
+    m_targets.applyLeavingNotice({send.target, send.startedAt});
+}
+
+void EntryNode::noteLimit(const TargetSendNote &send, const LimitNotice &notice)
+{
+    if (notice.kind == LimitNotice::Kind::None && m_limits.isEmpty())
         return;
-    const RelayAnswerHead answer = m_bindings.readAnswerHead(response.head, RequestId());
-    if (answer.status == 503 && answer.retryAfter > Duration::zero()) {
-        m_holdOffs.onTurnedAway(id, startedAt, answer.retryAfter, m_loop.timers().now());
-        const auto period =
-                std::chrono::duration_cast<std::chrono::milliseconds>(answer.retryAfter);
-        logLine(LogPart::Targets, LogLevel::Info,
-                "Target " + id.text() + " turned a call away and wants nothing for "
-                        + std::to_string(period.count()) + " ms.");
+    const LimitChange change =
+            m_limits.apply(send.target, send.startedAt, notice, send.sentAt, m_loop.timers().now());
+    if (change == LimitChange::Unchanged)
+        return;
+    std::string text = " names a limit that can't be read; what was known of it stays.";
+    if (change == LimitChange::Changed) {
+        const std::optional<double> limit = m_limits.limitOf(send.target, send.startedAt);
+        text = limit ? " names a limit of " + std::to_string(*limit) + " requests a second."
+                     : " names no limit any more.";
     }
-    if (!m_bindings.readIsLeaving(response))
+    logRequest(LogPart::Limits, LogLevel::Info, send.request,
+               "Target " + send.target.text() + text);
+}
+
+// What the head of an answer says holds also where its body never ends.
+void EntryNode::noteCallAnswer(const TargetSendNote &send, const HttpResponse &response)
+{
+    if (response.head.status == 0)
         return;
-    logLine(LogPart::Targets, LogLevel::Info, "Target " + id.text() + " says that it is leaving.");
-    m_targets.applyLeavingNotice({id, startedAt});
+    RelayAnswerHead answer = m_bindings.readAnswerHead(response.head, RequestId());
+    answer.isTargetLeaving = m_bindings.readIsLeaving(response);
+    noteAnswer(send, answer);
 }
 
 void EntryNode::askTarget(const ServiceTarget &target)
@@ -394,11 +438,14 @@
     HttpCallOptions options;
     options.endpoint = target.entry.endpoint;
     options.isConnectionKept = false;
-    m_fetcher.fetch(
-            options, m_bindings.writeReportCall(), ReportTimeout,
-            [this, id = target.id, startedAt = target.entry.startedAt](const FetchResult &result) {
-                noteCallAnswer(id, startedAt, result.response);
-            });
+    m_fetcher.fetch(options, m_bindings.writeReportCall(), ReportTimeout,
+                    [this, sent = TargetSendNote{target.id,
+                                                 target.entry.startedAt,
+                                                 m_loop.timers().now(),
+                                                 {},
+                                                 true}](const FetchResult &result) {
+                        noteCallAnswer(sent, result.response);
+                    });
 }
 
 } // namespace currantwalk
--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -186,6 +186,7 @@
 {
     TargetExchange &entry = m_exchanges.at(exchange);
     entry.wasSent = true;
+    entry.sentAt = m_services.timers.now();
     m_services.holdOffs.onSent(entry.target, entry.incarnation, m_services.timers.now());
     m_services.poison.onRunning(m_fingerprint, entry.target, entry.incarnation);
     m_services.poison.setSubject(
@@ -306,7 +307,9 @@
         it->second.head = head;
         m_services.poison.onAnswering(m_fingerprint, it->second.target);
         const RelayAnswerHead answer = m_services.bindings.readAnswerHead(head, m_caller.id);
-        noteTargetState(it->second.target, it->second.incarnation, answer);
+        m_services.noteAnswer(
+                {it->second.target, it->second.incarnation, it->second.sentAt, m_caller.id.text()},
+                answer);
         m_call->onHead(exchange, answer);
         finishIfSettled();
     };
@@ -335,35 +338,6 @@
            > Duration::zero();
 }
 
-// Takes what the target says of itself in an answer, whatever becomes of the answer.
-void RelaySession::noteTargetState(const TargetId &target, Incarnation incarnation,
-                                   const RelayAnswerHead &answer)
-{
-    // Another target has the address.
-    if (answer.isTargetReplaced)
-        return;
-    const TimePoint now = m_services.timers.now();
-    const ServiceTarget *const known = m_services.targets.find(target);
-    if (answer.isTargetLeaving && known && known->phase != TargetPhase::Leaving) {
-        logRequest(LogPart::Targets, LogLevel::Info, m_caller.id.text(),
-                   "Target " + target.text() + " says in its answer that it is leaving.");
-        m_services.metrics.count("currantwalk_leaving_answers_total");
-    }
-    if (answer.isTargetLeaving)
-        m_services.targets.applyLeavingNotice({target, incarnation});
-    if (answer.status != 503) {
-        m_services.holdOffs.onTaken(target, incarnation, now);
-        return;
-    }
-    if (answer.retryAfter <= Duration::zero())
-        return;
-    m_services.holdOffs.onTurnedAway(target, incarnation, answer.retryAfter, now);
-    m_services.metrics.count("currantwalk_hold_offs_total", {{"service", m_service}});
-    logRequest(LogPart::Targets, LogLevel::Info, m_caller.id.text(),
-               "Target " + target.text() + " turned the request away and wants nothing for "
-                       + millisecondText(answer.retryAfter) + " ms.");
-}
-
 // The exchange is dropped in the loop's next round, since this may be called from its callback.
 void RelaySession::abandon(std::uint64_t exchange)
 {
--- a/src/daemon/relaysession.h
+++ b/src/daemon/relaysession.h
@@ -14,6 +14,16 @@
 
 namespace currantwalk {
 
+/// A request or call that a target has answered.
+struct TargetSendNote
+{
+    TargetId target;
+    Incarnation startedAt = 0; ///< Of the target, as its entry said.
+    TimePoint sentAt{};        ///< When the request was written, or before.
+    std::string request{};     ///< Id of the caller's request; empty for calls of the node's own.
+    bool isOwnCall = false;    ///< Whether it is a call of the node's own, which takes no slot.
+};
+
 /// What the sessions of an entry node share.
 struct RelayServices
 {
@@ -48,9 +58,10 @@
     std::function<void()> loadsChanged;
     /// Calls \a done when the loads of other nodes are known as well as they can be soon.
     std::function<void(std::function<void()> done)> refreshLoads;
-    /// Takes what a target says of itself in its answer to a call about copies.
-    std::function<void(const TargetId &target, Incarnation startedAt, const HttpResponse &response)>
-            noteCallAnswer;
+    /// Takes what a target says of itself in its answer to a request, whatever becomes of it.
+    std::function<void(const TargetSendNote &send, const RelayAnswerHead &answer)> noteAnswer;
+    /// The same for its answer to a call of the node's own.
+    std::function<void(const TargetSendNote &send, const HttpResponse &response)> noteCallAnswer;
     PoisonTracker &poison;
     Metrics &metrics;
 };
@@ -88,6 +99,7 @@
         Incarnation incarnation = 0; ///< Of the target, as its entry says.
         bool isWaiting = true;       ///< No part of the answer has come.
         bool wasSent = false;        ///< The target may run the request.
+        TimePoint sentAt{};          ///< When it was written.
         bool hasEnded = false;       ///< The target has ended the answer or the connection.
         std::optional<TargetId> backup;
     };
@@ -103,8 +115,6 @@
     void noteRunning(std::uint64_t exchange);
     void noteLost(std::uint64_t exchange);
     bool isHeldOff(const ServiceTarget &target) const;
-    void noteTargetState(const TargetId &target, Incarnation incarnation,
-                         const RelayAnswerHead &answer);
     std::optional<TargetId> place(const std::vector<TargetId> &excluded);
     std::optional<TargetId> chooseMoveTarget(const TargetId &source,
                                              const std::vector<TargetId> &excluded);
--- a/src/daemon/relaysessioncopies.cpp
+++ b/src/daemon/relaysessioncopies.cpp
@@ -42,11 +42,13 @@
     const Endpoint handleIssuer = from->entry.endpoint;
     reserve(move, destination);
     const auto answer = [this, alive = m_alive, move, destination, handleIssuer, source,
-                         startedAt = from->entry.startedAt](FetchResult result) {
+                         sent = TargetSendNote{source, from->entry.startedAt,
+                                               m_services.timers.now(), m_caller.id.text(),
+                                               true}](FetchResult result) {
         if (!*alive)
             return;
         dropReservation(move);
-        m_services.noteCallAnswer(source, startedAt, result.response);
+        m_services.noteCallAnswer(sent, result.response);
         m_services.metrics.count("currantwalk_copies_total",
                                  {{"result", result.status.ok() ? "answered" : "lost"}});
         const absl::StatusOr<std::string> handle =
--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <absl/strings/numbers.h>
+
 #include "base/json.h"
 
 namespace currantwalk {
@@ -260,6 +262,13 @@
     answer.isTargetLeaving = findHeader(head.headers, "leaving").has_value();
     if (const auto milliseconds = findHeader(head.headers, "retry-after"))
         answer.retryAfter = std::chrono::milliseconds(std::stoll(std::string(*milliseconds)));
+    if (const auto limit = findHeader(head.headers, "limit")) {
+        double perSecond = 0;
+        answer.limit.kind = absl::SimpleAtod(std::string(*limit), &perSecond)
+                                    ? LimitNotice::Kind::Named
+                                    : LimitNotice::Kind::Unreadable;
+        answer.limit.perSecond = perSecond;
+    }
     return answer;
 }
 
