What targets with limits take is granted to all nodes together

What callers saw: nothing; what targets saw: a target that names 4.1 requests a second got 113 more in 4 s than the rule allows at one node, 35 at seven, 44 to 67 in the users' record.

Cause: a bound over all nodes that no node keeps. The limit was not read; and once read, an account at each node holds only where there are fewer nodes than requests a second.

Change: one node grants the requests to a target, request by request (TargetGrants), a node of the target's availability zone by rendezvous hashing (findGrantOwner): who reaches the target reaches it too, also while the zone is cut off. A node that is asked although another is responsible in its eyes asks that one. First and second sends, resumed and moved streams, copies and reports all take from the same limit; a stream that its caller reads may overdraw it, a second send leaves one for a first. Requests go to other targets first; what none takes is refused at once with the time at which there is room. Nodes tell one another the limits that change, and a node that starts hears of those that stand. ReaderSelector's backoff is shared as PeerBackoff.

Not taken: the limit divided by the nodes (a first request of each node breaks it at 90; what is below one request a node and second stays unused).

--- a/src/calls/relaycall.cpp
+++ b/src/calls/relaycall.cpp
@@ -286,7 +286,8 @@
         return;
     }
     if (!wasSent) {
-        if (errorCode(status) != ErrorCode::Cancelled)
+        if (errorCode(status) != ErrorCode::Cancelled
+            && errorCode(status) != ErrorCode::RateLimited)
             m_hooks.report(m_target, SendResult::Unreachable);
         onProvenNotRun(status, {});
         return;
@@ -318,7 +319,13 @@
     m_excluded.push_back(m_target);
     --m_possibleRuns;
     closeExchange();
-    if (++m_unexecutedSends >= MaxUnexecutedSends || (hasReachedTarget && !m_hooks.takeRetry())) {
+    // A target whose limit is used up was not tried.
+    const bool wasTried = errorCode(status) != ErrorCode::RateLimited;
+    if (wasTried)
+        ++m_unexecutedSends;
+    else
+        --m_sends;
+    if (m_unexecutedSends >= MaxUnexecutedSends || (hasReachedTarget && !m_hooks.takeRetry())) {
         fail(status, retryAfter);
         return;
     }
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -93,13 +93,19 @@
       m_peers(loop.client(), loop.timers(), settings.peerKey, false, m_metrics),
       m_topics({}, m_readers, m_peers, loop.timers(), m_random),
       m_loads(settings.vm, {settings.peers, settings.zone, m_incarnation}, m_peers, m_roster,
-              m_readers, m_placer, m_targets,
+              m_readers, m_placer, m_targets, m_limits,
               {[this] { return catalogNote(); },
                [this](const NodeRecord &peer, const CatalogNote &note, TimePoint sentAt) {
                    onCatalogNote(peer, note, sentAt);
                },
-               [this](const LeavingNotice &target) { m_targets.applyLeavingNotice(target); }},
+               [this](const LeavingNotice &target) { m_targets.applyLeavingNotice(target); },
+               [this](const TargetLimit &limit) { takeLimit(limit); }},
               loop.timers()),
+      m_grants(settings.vm, settings.zone, m_peers, m_roster, m_limits, m_metrics, loop.timers()),
+      m_limiter(m_limits, {[this](const GrantRequest &request, GrantExchange::Done done) {
+                    m_grants.ask(request, std::move(done));
+                }},
+                loop.timers()),
       m_poisonExchange(settings.zone, *m_poison, m_peers, m_roster,
                        {m_bindings.writeRoster, m_bindings.unixMilliseconds}, loop.timers(),
                        m_random),
@@ -226,6 +232,7 @@
             m_catalog,
             m_targets,
             m_holdOffs,
+            m_limiter,
             m_placer,
             m_settings,
             m_fetcher,
@@ -426,10 +433,12 @@
     exchange.finish();
 }
 
-bool EntryNode::isHeldOff(const ServiceTarget &target) const
+// Answers load beyond what targets turn away or take from all nodes together.
+Duration EntryNode::timeUntilTaking(const ServiceTarget &target) const
 {
-    return m_holdOffs.remaining(target.id, target.entry.startedAt, m_loop.timers().now())
-           > Duration::zero();
+    const Duration heldOff =
+            m_holdOffs.remaining(target.id, target.entry.startedAt, m_loop.timers().now());
+    return std::max(heldOff, m_limiter.remaining(target.id, target.entry.startedAt));
 }
 
 // Answers load that targets turn away: the callers come back spread over the time after the first
@@ -437,10 +446,9 @@
 Duration EntryNode::timeUntilReturn(const std::string &service)
 {
     constexpr int SpreadDivisor = 4;
-    const TimePoint now = m_loop.timers().now();
     std::optional<Duration> shortest;
     for (const ServiceTarget *target : m_targets.usable(service)) {
-        const Duration left = m_holdOffs.remaining(target->id, target->entry.startedAt, now);
+        const Duration left = timeUntilTaking(*target);
         shortest = std::min(left, shortest.value_or(left));
     }
     if (!shortest || *shortest == Duration::zero())
@@ -448,15 +456,22 @@
     return *shortest + m_random.jitter(*shortest / SpreadDivisor);
 }
 
-// Returns the usable targets that are not held off.
+// Returns the usable targets that may be sent requests.
 std::vector<const ServiceTarget *> EntryNode::takingTargets(const std::string &service) const
 {
     std::vector<const ServiceTarget *> targets = m_targets.usable(service);
-    if (!m_holdOffs.isEmpty())
-        std::erase_if(targets, [this](const ServiceTarget *each) { return isHeldOff(*each); });
+    if (isAnyTargetSparing())
+        std::erase_if(targets, [this](const ServiceTarget *each) {
+            return timeUntilTaking(*each) > Duration::zero();
+        });
     return targets;
 }
 
+bool EntryNode::isAnyTargetSparing() const
+{
+    return !m_holdOffs.isEmpty() || !m_limits.isEmpty();
+}
+
 std::vector<const ServiceTarget *>
 EntryNode::withoutEjected(const std::vector<const ServiceTarget *> &targets) const
 {
@@ -476,13 +491,13 @@
     return m_placer.hasRoom(withoutEjected(takingTargets(service)), load, memoryTokens, now);
 }
 
-// Ejected targets are used again where no other is left; those that are held off are not.
+// Ejected targets are used again where no other is left; those that want nothing are not.
 const ServiceTarget *EntryNode::choose(const std::string &service,
                                        const std::vector<TargetId> &excluded, const ZoneName &zone,
                                        double spread)
 {
     const std::vector<const ServiceTarget *> taking = takingTargets(service);
-    if (!m_holdOffs.isEmpty() && taking.size() < m_targets.usable(service).size())
+    if (isAnyTargetSparing() && taking.size() < m_targets.usable(service).size())
         m_metrics.count("currantwalk_diverted_choices_total", {{"service", service}});
     const TimePoint now = m_loop.timers().now();
     const ServiceTarget *const best =
@@ -516,6 +531,8 @@
     m_poison->onTick();
     m_targets.expire();
     m_holdOffs.expire(m_loop.timers().now());
+    m_grants.expire();
+    m_limiter.expire();
     m_limits.expire([this](const TargetId &id) { return m_targets.find(id) != nullptr; },
                     m_loop.timers().now());
     askTargets();
--- a/src/daemon/entrynode.h
+++ b/src/daemon/entrynode.h
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "base/randomsource.h"
+#include "daemon/grantexchange.h"
 #include "daemon/loadexchange.h"
 #include "daemon/poisonexchange.h"
 #include "daemon/relaysession.h"
@@ -82,6 +83,7 @@
     void noteAnswer(const TargetSendNote &send, const RelayAnswerHead &answer);
     void noteLeaving(const TargetSendNote &send);
     void noteLimit(const TargetSendNote &send, const LimitNotice &limit);
+    void takeLimit(const TargetLimit &limit);
     void noteCallAnswer(const TargetSendNote &send, const HttpResponse &response);
     void onTargetLeaving(const ServiceTarget &target);
     void takeCatalog(const KeyedRecord &record);
@@ -90,7 +92,9 @@
     void onCatalogNote(const NodeRecord &peer, const CatalogNote &note, TimePoint sentAt);
     void fetchCatalog(const NodeRecord &peer);
     void takeTarget(const KeyedRecord &record);
-    bool isHeldOff(const ServiceTarget &target) const;
+    bool isAnyTargetSparing() const;
+    Duration timeUntilTaking(const ServiceTarget &target) const;
+    void requestReport(const ServiceTarget &target);
     Duration timeUntilReturn(const std::string &service);
     std::vector<const ServiceTarget *> takingTargets(const std::string &service) const;
     std::vector<const ServiceTarget *>
@@ -127,6 +131,8 @@
     PeerLink m_peers;
     TopicExchange m_topics;
     LoadExchange m_loads;
+    GrantExchange m_grants;
+    TargetLimiter m_limiter;
     PoisonExchange m_poisonExchange;
     std::unique_ptr<KeyedTopicFollower> m_rosterFollower;
     std::unique_ptr<Drain> m_drain;
--- a/src/daemon/entrynodestore.cpp
+++ b/src/daemon/entrynodestore.cpp
@@ -146,6 +146,7 @@
                                });
     m_topics.start();
     m_loads.start();
+    m_grants.start();
     m_poisonExchange.start();
     announce();
 }
@@ -362,7 +363,7 @@
     for (const auto &[id, load] : m_placer.ownLoads()) {
         const ServiceTarget *const target = m_targets.find(id);
         if (target && load.tokens != 0 && target->phase != TargetPhase::Leaving
-            && !isHeldOff(*target))
+            && timeUntilTaking(*target) == Duration::zero())
             askTarget(*target);
     }
 }
@@ -423,6 +424,13 @@
                "Target " + send.target.text() + text);
 }
 
+// Passed on in turn, as not all nodes tell all others.
+void EntryNode::takeLimit(const TargetLimit &limit)
+{
+    if (m_limits.merge(limit))
+        m_loads.onChange();
+}
+
 // What the head of an answer says holds also where its body never ends.
 void EntryNode::noteCallAnswer(const TargetSendNote &send, const HttpResponse &response)
 {
@@ -435,17 +443,25 @@
 
 void EntryNode::askTarget(const ServiceTarget &target)
 {
+    m_limiter.request(target.id, target.entry.startedAt, target.entry.zone, GrantUse::Repeat,
+                      [this, id = target.id](bool isGranted) {
+                          const ServiceTarget *const current = m_targets.find(id);
+                          if (isGranted && current)
+                              requestReport(*current);
+                      });
+}
+
+void EntryNode::requestReport(const ServiceTarget &target)
+{
+    if (!m_limiter.take(target.id, target.entry.startedAt))
+        return;
     HttpCallOptions options;
     options.endpoint = target.entry.endpoint;
     options.isConnectionKept = false;
-    m_fetcher.fetch(options, m_bindings.writeReportCall(), ReportTimeout,
-                    [this, sent = TargetSendNote{target.id,
-                                                 target.entry.startedAt,
-                                                 m_loop.timers().now(),
-                                                 {},
-                                                 true}](const FetchResult &result) {
-                        noteCallAnswer(sent, result.response);
-                    });
+    const TargetSendNote sent{target.id, target.entry.startedAt, m_loop.timers().now(), {}, true};
+    m_fetcher.fetch(
+            options, m_bindings.writeReportCall(), ReportTimeout,
+            [this, sent](const FetchResult &result) { noteCallAnswer(sent, result.response); });
 }
 
 } // namespace currantwalk
--- /dev/null
+++ b/src/daemon/grantexchange.h
@@ -0,0 +1,52 @@
+#ifndef CURRANTWALK_DAEMON_GRANTEXCHANGE_H
+#define CURRANTWALK_DAEMON_GRANTEXCHANGE_H
+
+#include "daemon/peerlink.h"
+#include "limits/grantmessages.h"
+#include "limits/grantowner.h"
+
+namespace currantwalk {
+
+/// Asks other nodes for requests to targets with limits, and grants those to the targets that this
+/// node is responsible for.
+class GrantExchange
+{
+public:
+    using Done = std::function<void(const GrantAnswer &)>;
+
+    GrantExchange(VmId vm, ZoneName zone, PeerLink &peers, const NodeDirectory &nodes,
+                  TargetLimits &limits, Metrics &metrics, TimerService &timers);
+    ~GrantExchange() { *m_alive = false; }
+    GrantExchange(const GrantExchange &) = delete;
+    GrantExchange &operator=(const GrantExchange &) = delete;
+
+    /// Takes what peers ask.
+    void start();
+    /// Asks the node that is responsible for the target, or the next one where it does not answer.
+    /// Calls \a done once, then or later; with no grant where none answers in time.
+    void ask(const GrantRequest &request, Done done);
+    void expire() { m_grants.expire(m_timers.now()); }
+
+private:
+    void askFrom(const GrantRequest &request, TimePoint askedAt, Done done);
+    void callOwner(const GrantOwner &owner, const GrantRequest &request, Duration timeout,
+                   std::function<void(const absl::StatusOr<GrantAnswer> &)> done);
+    std::optional<GrantOwner> ownerOf(const GrantRequest &request) const;
+    GrantAnswer grant(const GrantRequest &request);
+    void onQuestion(const Json::Value &message, const RpcResponder &responder);
+
+    const VmId m_vm;
+    const ZoneName m_zone;
+    PeerLink &m_peers;
+    const NodeDirectory &m_nodes;
+    TargetLimits &m_limits;
+    Metrics &m_metrics;
+    TimerService &m_timers;
+    TargetGrants m_grants;
+    PeerBackoff m_backoff;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace currantwalk
+
+#endif // CURRANTWALK_DAEMON_GRANTEXCHANGE_H
--- a/src/daemon/loadexchange.cpp
+++ b/src/daemon/loadexchange.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/json.h"
+#include "limits/grantmessages.h"
 #include "observe/logging.h"
 
 namespace currantwalk {
@@ -20,10 +21,14 @@
 static constexpr Duration ChangeDelay = std::chrono::milliseconds(10);
 // A third of the time for which peers remember loads, so that two messages may be lost.
 static constexpr Duration RepeatInterval = std::chrono::milliseconds(500);
+// Of a node that has started, whose answers tell what other nodes know from before. Some may be
+// lost.
+static constexpr std::uint64_t FirstMessages = 8;
 
 LoadExchange::LoadExchange(VmId vm, NodeRecord self, PeerLink &peers, NodeDirectory &roster,
                            ReaderSelector &readers, TargetSelector &placer,
-                           const ServiceTargets &targets, Hooks hooks, TimerService &timers)
+                           const ServiceTargets &targets, const TargetLimits &limits, Hooks hooks,
+                           TimerService &timers)
     : m_vm(std::move(vm)),
       m_self(std::move(self)),
       m_hooks(std::move(hooks)),
@@ -32,6 +37,7 @@
       m_readers(readers),
       m_placer(placer),
       m_targets(targets),
+      m_limits(limits),
       m_timers(timers)
 {
 }
@@ -88,6 +94,9 @@
     message["sequence"] = Json::UInt64(++m_sequence);
     message["loads"] = encodeLoads(loads);
     message["leaving"] = encodeLeaving(m_targets.leavingNotices());
+    const TimePoint now = m_timers.now();
+    if (const std::vector<TargetLimit> limits = m_limits.recentChanges(now); !limits.empty())
+        message["limits"] = encodeLimits(limits, now);
     return message;
 }
 
@@ -200,6 +209,15 @@
         answer["others"] = encodeLoads(m_placer.loadsBesides(vm, m_timers.now()));
         answer["leaving"] = encodeLeaving(m_targets.leavingNotices());
     }
+    if (!isTaken)
+        return answer;
+    // A node that has just started may not have heard of limits that were named before.
+    const TimePoint now = m_timers.now();
+    const bool isNewPeer = message["sequence"].asUInt64() <= FirstMessages;
+    const std::vector<TargetLimit> limits =
+            isNewPeer ? m_limits.named() : m_limits.recentChanges(now);
+    if (!limits.empty())
+        answer["limits"] = encodeLimits(limits, now);
     return answer;
 }
 
@@ -215,6 +233,19 @@
         m_hooks.onCatalogNote(peer, *note, sentAt);
     else
         logLine(LogPart::Peers, LogLevel::Warning, "A peer's answer can't be read.");
+    if (result->isObject() && !takeLimits(*result))
+        logLine(LogPart::Peers, LogLevel::Warning, "The limits in a peer's answer can't be read.");
+}
+
+bool LoadExchange::takeLimits(const Json::Value &message)
+{
+    const absl::StatusOr<std::vector<TargetLimit>> limits =
+            decodeLimits(message["limits"], m_timers.now());
+    if (!limits.ok())
+        return false;
+    for (const TargetLimit &limit : *limits)
+        m_hooks.onLimit(limit);
+    return true;
 }
 
 // A node that has just started may not be able to read the roster; it learns its peers from their
@@ -246,6 +277,8 @@
                                  m_timers.now());
     for (const LeavingNotice &target : *leaving)
         m_hooks.onLeaving(target);
+    if (!takeLimits(message))
+        logLine(LogPart::Peers, LogLevel::Warning, "The limits in a peer's message can't be read.");
     return true;
 }
 
--- a/src/daemon/loadexchange.h
+++ b/src/daemon/loadexchange.h
@@ -5,6 +5,7 @@
 #include "membership/readerselector.h"
 #include "routing/targetselector.h"
 #include "targets/servicetargets.h"
+#include "targets/targetlimits.h"
 
 namespace currantwalk {
 
@@ -16,7 +17,8 @@
 };
 
 /// Tells other nodes what this node has in progress at each target, soon after it changes and again
-/// before they would forget it, and which targets it has heard are leaving. Each answer tells what
+/// before they would forget it, which targets it has heard are leaving, and which limits of targets
+/// have changed. Each answer tells what
 /// the peer knows of the catalogue, so that a node which can't read the store learns it from those
 /// that can.
 ///
@@ -35,11 +37,13 @@
                 onCatalogNote;
         /// A peer has heard that a target is leaving.
         std::function<void(const LeavingNotice &)> onLeaving;
+        /// A peer knows this limit of a target.
+        std::function<void(const TargetLimit &)> onLimit;
     };
 
     LoadExchange(VmId vm, NodeRecord self, PeerLink &peers, NodeDirectory &roster,
                  ReaderSelector &readers, TargetSelector &placer, const ServiceTargets &targets,
-                 Hooks hooks, TimerService &timers);
+                 const TargetLimits &limits, Hooks hooks, TimerService &timers);
     ~LoadExchange();
     LoadExchange(const LoadExchange &) = delete;
     LoadExchange &operator=(const LoadExchange &) = delete;
@@ -61,6 +65,7 @@
     void sendZoneSums();
     void repeat();
     Json::Value answerTo(const Json::Value &message);
+    bool takeLimits(const Json::Value &message);
     bool take(const Json::Value &message);
     void takeReportAnswer(const ReaderSelector::Peer &peer,
                           const absl::StatusOr<Json::Value> &result, TimePoint sentAt);
@@ -75,6 +80,7 @@
     ReaderSelector &m_readers;
     TargetSelector &m_placer;
     const ServiceTargets &m_targets;
+    const TargetLimits &m_limits;
     TimerService &m_timers;
     std::uint64_t m_sequence = 0;
     TimerId m_changeTimer = NoTimer;
--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -239,10 +239,61 @@
     finishIfSettled();
 }
 
+// A target with a limit is asked for before the connection is opened; a call that is refused it is
+// told later, as hooks may not call back into it.
 void RelaySession::send(const RelaySend &order)
 {
+    const ServiceTarget *const target = m_services.targets.find(order.target);
+    TargetExchange &entry = m_exchanges[order.exchange];
+    entry.target = order.target;
+    entry.incarnation = target->entry.startedAt;
+    entry.backup = order.backup;
+    m_services.placer.onSent(order.target, load());
+    if (entry.backup)
+        m_services.placer.onBackupStarted(*entry.backup, load());
+    if (load().promptTokens != 0)
+        m_services.loadsChanged();
+    m_services.limiter.request(order.target, entry.incarnation, target->entry.zone, grantUse(order),
+                               [this, alive = m_alive, order](bool isGranted) {
+                                   if (!*alive)
+                                       return;
+                                   if (isGranted)
+                                       connect(order);
+                                   else
+                                       refuseLater(order.exchange);
+                               });
+}
+
+GrantUse RelaySession::grantUse(const RelaySend &order) const
+{
+    if (order.resume && m_firstPartAt)
+        return GrantUse::Resume;
+    return m_call->sends() > 1 ? GrantUse::Repeat : GrantUse::First;
+}
+
+void RelaySession::refuseLater(std::uint64_t exchange)
+{
+    m_services.timers.scheduleAfter(Duration::zero(), [this, alive = m_alive, exchange] {
+        if (!*alive || !m_exchanges.contains(exchange))
+            return;
+        m_call->onEnd(exchange, makeError(ErrorCode::RateLimited, "the target's limit is used up"),
+                      false);
+        finishIfSettled();
+    });
+}
+
+void RelaySession::connect(const RelaySend &order)
+{
+    const auto entry = m_exchanges.find(order.exchange);
+    // The call may have been settled, or the target have gone, while the grant was asked for.
+    if (entry == m_exchanges.end())
+        return;
     const TargetId &id = order.target;
     const ServiceTarget *const target = m_services.targets.find(id);
+    if (!target) {
+        refuseLater(order.exchange);
+        return;
+    }
     const TimePoint now = m_services.timers.now();
     TargetSend send;
     send.target = id;
@@ -270,18 +321,11 @@
     // A generation in progress is told of, since a node that is killed tells nothing more.
     if (m_call->sends() > 1 || isStream(m_call->request().rule))
         logSend(*target, order);
-    TargetExchange &entry = m_exchanges[order.exchange];
-    entry.target = id;
-    entry.incarnation = target->entry.startedAt;
-    entry.backup = order.backup;
-    m_services.placer.onSent(id, load());
-    if (entry.backup)
-        m_services.placer.onBackupStarted(*entry.backup, load());
-    if (load().promptTokens != 0)
-        m_services.loadsChanged();
-    entry.call = m_services.client.send(
+    entry->second.call = m_services.client.send(
             options, m_services.bindings.writeSend(m_exchange->request(), send),
             callHooks(order.exchange, id, order.resume && order.resume->copy));
+    if (m_isPaused)
+        entry->second.call->pause();
 }
 
 HttpCallHooks RelaySession::callHooks(std::uint64_t exchange, const TargetId &target,
@@ -293,8 +337,8 @@
         const bool isAllowed = isResumed ? mayGoOn() : mayUseKey(m_services.settings.maxKeyAge);
         const bool isTaking = current && current->phase != TargetPhase::Leaving
                               && (isResumed || !isHeldOff(*current));
-        const bool mayWrite =
-                isAllowed && isTaking && !isPoisonous() && m_call->onConnected(exchange);
+        const bool mayWrite = isAllowed && isTaking && !isPoisonous() && takeGrant(exchange)
+                              && m_call->onConnected(exchange);
         if (mayWrite)
             noteRunning(exchange);
         return mayWrite;
@@ -332,6 +376,14 @@
     return hooks;
 }
 
+// The target may have named a limit while the connection was being opened.
+bool RelaySession::takeGrant(std::uint64_t exchange) const
+{
+    const auto entry = m_exchanges.find(exchange);
+    return entry != m_exchanges.end()
+           && m_services.limiter.take(entry->second.target, entry->second.incarnation);
+}
+
 bool RelaySession::isHeldOff(const ServiceTarget &target) const
 {
     return m_services.holdOffs.remaining(target.id, target.entry.startedAt, m_services.timers.now())
@@ -347,7 +399,8 @@
     release(it->second);
     std::shared_ptr<HttpCall> call = std::move(it->second.call);
     m_exchanges.erase(it);
-    m_services.timers.scheduleAfter(Duration::zero(), [call] {});
+    if (call)
+        m_services.timers.scheduleAfter(Duration::zero(), [call] {});
 }
 
 void RelaySession::release(const TargetExchange &exchange)
@@ -404,6 +457,8 @@
     if (std::exchange(m_isPaused, isPaused) == isPaused)
         return;
     for (const auto &[number, exchange] : m_exchanges) {
+        if (!exchange.call)
+            continue;
         if (isPaused)
             exchange.call->pause();
         else
--- a/src/daemon/relaysession.h
+++ b/src/daemon/relaysession.h
@@ -7,6 +7,7 @@
 #include "blame/poisontracker.h"
 #include "config/catalogholder.h"
 #include "daemon/entrytypes.h"
+#include "limits/targetlimiter.h"
 #include "net/fetcher.h"
 #include "observe/metrics.h"
 #include "routing/targetselector.h"
@@ -33,6 +34,7 @@
     const CatalogHolder &catalog;
     ServiceTargets &targets;
     TargetHoldOffs &holdOffs;
+    TargetLimiter &limiter;
     TargetSelector &placer;
     const EntrySettings &settings;
     Fetcher &fetcher; ///< For calls to engines.
@@ -119,12 +121,19 @@
     std::optional<TargetId> chooseMoveTarget(const TargetId &source,
                                              const std::vector<TargetId> &excluded);
     void copy(std::uint64_t move, const TargetId &source, const TargetId &destination);
+    void requestCopy(std::uint64_t move, const TargetId &source, const TargetId &destination);
+    void failCopyLater(std::uint64_t move);
+    TargetSendNote ownCall(const ServiceTarget &target) const;
     void reserve(std::uint64_t move, const TargetId &destination);
     void dropReservation(std::uint64_t move);
     void freeCopy(const TargetId &source, const StreamCopy &copy);
     std::optional<TargetId> chooseBackupTarget(const TargetId &target) const;
     std::optional<StreamCopy> findBackup(const TargetId &holder) const;
     void send(const RelaySend &order);
+    GrantUse grantUse(const RelaySend &order) const;
+    void refuseLater(std::uint64_t exchange);
+    void connect(const RelaySend &order);
+    bool takeGrant(std::uint64_t exchange) const;
     HttpCallHooks callHooks(std::uint64_t exchange, const TargetId &target, bool isResumed);
     void abandon(std::uint64_t exchange);
     void release(const TargetExchange &exchange);
--- a/src/daemon/relaysessioncopies.cpp
+++ b/src/daemon/relaysessioncopies.cpp
@@ -26,25 +26,56 @@
     if (!target || target->id == source)
         return std::nullopt;
     // The source gets the order to copy.
-    if (!m_services.holdOffs.tryResume(source, from->entry.startedAt, m_services.timers.now()))
+    if (m_services.limiter.remaining(source, from->entry.startedAt) > Duration::zero()
+        || !m_services.holdOffs.tryResume(source, from->entry.startedAt, m_services.timers.now()))
         return std::nullopt;
     return target->id;
 }
 
 void RelaySession::copy(std::uint64_t move, const TargetId &source, const TargetId &destination)
+{
+    const ServiceTarget *const from = m_services.targets.find(source);
+    reserve(move, destination);
+    m_services.limiter.request(source, from->entry.startedAt, from->entry.zone, GrantUse::First,
+                               [this, alive = m_alive, move, source, destination](bool isGranted) {
+                                   if (!*alive)
+                                       return;
+                                   if (isGranted)
+                                       requestCopy(move, source, destination);
+                                   else
+                                       failCopyLater(move);
+                               });
+}
+
+// The hook that asks for a copy may not call back into the call.
+void RelaySession::failCopyLater(std::uint64_t move)
+{
+    m_services.timers.scheduleAfter(Duration::zero(), [this, alive = m_alive, move] {
+        if (!*alive)
+            return;
+        dropReservation(move);
+        m_call->onCopyResult(
+                move, makeError(ErrorCode::RateLimited, "the source takes no further requests"));
+        finishIfSettled();
+    });
+}
+
+void RelaySession::requestCopy(std::uint64_t move, const TargetId &source,
+                               const TargetId &destination)
 {
     const ServiceTarget *const from = m_services.targets.find(source);
     const ServiceTarget *const to = m_services.targets.find(destination);
+    if (!from || !to || !m_services.limiter.take(source, from->entry.startedAt)) {
+        failCopyLater(move);
+        return;
+    }
     HttpCallOptions options;
     options.endpoint = from->entry.endpoint;
     options.isConnectionKept = false;
     options.connectTimeout = ConnectTimeout;
     const Endpoint handleIssuer = from->entry.endpoint;
-    reserve(move, destination);
     const auto answer = [this, alive = m_alive, move, destination, handleIssuer, source,
-                         sent = TargetSendNote{source, from->entry.startedAt,
-                                               m_services.timers.now(), m_caller.id.text(),
-                                               true}](FetchResult result) {
+                         sent = ownCall(*from)](FetchResult result) {
         if (!*alive)
             return;
         dropReservation(move);
@@ -87,23 +118,42 @@
     m_reservations.erase(it);
 }
 
-// A copy that is not freed ends by itself after a time.
+TargetSendNote RelaySession::ownCall(const ServiceTarget &target) const
+{
+    return {target.id, target.entry.startedAt, m_services.timers.now(), m_caller.id.text(), true};
+}
+
+// A copy that is not freed ends by itself after a time. The call outlives the request.
 void RelaySession::freeCopy(const TargetId &source, const StreamCopy &copy)
 {
     const ServiceTarget *const holder = m_services.targets.find(source);
     if (holder && isHeldOff(*holder))
         return;
-    HttpCallOptions options;
-    options.endpoint = copy.handleIssuer;
-    options.isConnectionKept = false;
-    options.connectTimeout = ConnectTimeout;
-    m_services.fetcher.fetch(options, m_services.bindings.writeDropCopy(copy.handle), CopyTimeout,
-                             [source](const FetchResult &result) {
-                                 if (!result.status.ok())
-                                     logLine(LogPart::Targets, LogLevel::Info,
-                                             "A copy named by " + source.text()
-                                                     + " was not freed.");
-                             });
+    RelayServices &services = m_services;
+    const TargetSendNote sent = holder ? ownCall(*holder) : TargetSendNote{source};
+    const auto free = [&services, copy, sent](bool isGranted) {
+        if (!isGranted || !services.limiter.take(sent.target, sent.startedAt)) {
+            logLine(LogPart::Targets, LogLevel::Info,
+                    "A copy named by " + sent.target.text()
+                            + " was not freed: the target takes no further requests.");
+            return;
+        }
+        HttpCallOptions options;
+        options.endpoint = copy.handleIssuer;
+        options.isConnectionKept = false;
+        options.connectTimeout = ConnectTimeout;
+        services.fetcher.fetch(options, services.bindings.writeDropCopy(copy.handle), CopyTimeout,
+                               [&services, sent](const FetchResult &result) {
+                                   services.noteCallAnswer(sent, result.response);
+                                   if (!result.status.ok())
+                                       logLine(LogPart::Targets, LogLevel::Info,
+                                               "A copy named by " + sent.target.text()
+                                                       + " was not freed.");
+                               });
+    };
+    m_services.limiter.request(sent.target, sent.startedAt,
+                               holder ? holder->entry.zone : m_services.settings.zone,
+                               GrantUse::Repeat, free);
 }
 
 // The node's own zone comes first: a copy there can be reached when the zone is cut off.
--- a/src/daemon/tests/loadexchangetest.cpp
+++ b/src/daemon/tests/loadexchangetest.cpp
@@ -49,13 +49,14 @@
           peers(bench.loop->client(), bench.loop->timers(), "a shared key of a test", false,
                 metrics),
           readers({}, VmId(name), self.zone, roster),
-          exchange(VmId(name), self, peers, roster, readers, placer, targets,
+          exchange(VmId(name), self, peers, roster, readers, placer, targets, limits,
                    {[this] { return own; },
                     [this](const NodeRecord &, const CatalogNote &note, TimePoint sentAt) {
                         notes.push_back(note);
                         noteSentAt = sentAt;
                     },
-                    [this](const LeavingNotice &target) { targets.applyLeavingNotice(target); }},
+                    [this](const LeavingNotice &target) { targets.applyLeavingNotice(target); },
+                    [this](const TargetLimit &limit) { limits.merge(limit); }},
                    bench.loop->timers())
     {
         TargetEntry entry;
@@ -70,6 +71,7 @@
     TimePoint noteSentAt{};
     RandomSource random{1};
     Metrics metrics;
+    TargetLimits limits;
     ServiceTargets targets;
     TargetSelector placer{{}, random};
     NodeDirectory roster;
--- a/src/membership/readerselector.cpp
+++ b/src/membership/readerselector.cpp
@@ -17,7 +17,7 @@
     std::vector<Peer> before;
     const auto own = rankOf(m_self);
     for (auto &[vm, record] : m_nodes.peersIn(m_zone)) {
-        if (rankOf(vm) < own && !isInBackoff(vm, record, now))
+        if (rankOf(vm) < own && !m_backoff.isInBackoff(vm, record, now))
             before.push_back({vm, record});
     }
     std::sort(before.begin(), before.end(),
@@ -49,7 +49,8 @@
             continue;
         std::optional<Peer> first;
         for (auto &[vm, record] : m_nodes.peersIn(zone)) {
-            if (!isInBackoff(vm, record, now) && (!first || rankOf(vm) < rankOf(first->vm)))
+            if (!m_backoff.isInBackoff(vm, record, now)
+                && (!first || rankOf(vm) < rankOf(first->vm)))
                 first = Peer{vm, record};
         }
         if (first)
@@ -58,26 +59,4 @@
     return readers;
 }
 
-// A node that has started again is asked at once.
-bool ReaderSelector::isInBackoff(const VmId &vm, const NodeRecord &record, TimePoint now) const
-{
-    const auto failure = m_failures.find(vm);
-    return failure != m_failures.end() && failure->second.incarnation == record.incarnation
-           && now < failure->second.until;
-}
-
-// Records of nodes that were killed stay in the directory, so the backoff grows.
-void ReaderSelector::onFailure(const Peer &peer, TimePoint now)
-{
-    Failure &failure = m_failures[peer.vm];
-    if (failure.incarnation != peer.record.incarnation)
-        failure = {peer.record.incarnation, Duration::zero(), TimePoint{}};
-    if (now < failure.until)
-        return;
-    failure.backoff = failure.backoff == Duration::zero()
-                              ? m_options.minBackoff
-                              : std::min(2 * failure.backoff, m_options.maxBackoff);
-    failure.until = now + failure.backoff;
-}
-
 } // namespace currantwalk
--- a/src/membership/readerselector.h
+++ b/src/membership/readerselector.h
@@ -1,12 +1,11 @@
 #ifndef CURRANTWALK_MEMBERSHIP_READERSELECTOR_H
 #define CURRANTWALK_MEMBERSHIP_READERSELECTOR_H
 
-#include <map>
 #include <optional>
 #include <utility>
 #include <vector>
 
-#include "membership/nodedirectory.h"
+#include "membership/peerbackoff.h"
 
 namespace currantwalk {
 
@@ -34,7 +33,11 @@
     };
 
     ReaderSelector(const Options &options, VmId self, ZoneName zone, const NodeDirectory &nodes)
-        : m_options(options), m_self(std::move(self)), m_zone(std::move(zone)), m_nodes(nodes)
+        : m_options(options),
+          m_self(std::move(self)),
+          m_zone(std::move(zone)),
+          m_nodes(nodes),
+          m_backoff(options.minBackoff, options.maxBackoff)
     {
     }
 
@@ -51,25 +54,20 @@
     /// Called when a peer has asked this node.
     void onAsked(TimePoint now) { m_askedUntil = now + m_options.askedFor; }
     /// Called when a peer did not answer, or with an answer that is too old.
-    void onFailure(const Peer &peer, TimePoint now);
-    void onAnswer(const Peer &peer) { m_failures.erase(peer.vm); }
-
-private:
-    struct Failure
+    void onFailure(const Peer &peer, TimePoint now)
     {
-        Incarnation incarnation = 0;
-        Duration backoff{0};
-        TimePoint until{};
-    };
+        m_backoff.onFailure(peer.vm, peer.record, now);
+    }
+    void onAnswer(const Peer &peer) { m_backoff.onAnswer(peer.vm); }
 
+private:
     std::vector<Peer> peersBefore(TimePoint now) const;
-    bool isInBackoff(const VmId &vm, const NodeRecord &record, TimePoint now) const;
 
     const Options m_options;
     const VmId m_self;
     const ZoneName m_zone;
     const NodeDirectory &m_nodes;
-    std::map<VmId, Failure> m_failures;
+    PeerBackoff m_backoff;
     TimePoint m_askedUntil{};
 };
 
