After a cut only one side grants what a target takes

Cause: while the nodes of the target's zone did not answer, a node of another zone took their place, and went on as long as its backoff of them lasted, up to 30 s after they answered again.

Change: whoever grants in place of others asks them twice a second whether they are back; a stand-in of another zone grants a quarter of the limit, as the nodes of the target's zone may be granting too. Half a second of burst in place of three quarters pays for the overlap.

--- a/src/daemon/grantexchange.cpp
+++ b/src/daemon/grantexchange.cpp
@@ -1,5 +1,7 @@
 #include "daemon/grantexchange.h"
 
+#include <algorithm>
+
 #include "observe/logging.h"
 
 namespace currantwalk {
@@ -10,9 +12,14 @@
 static constexpr Duration ForwardTimeout = std::chrono::milliseconds(120);
 // A caller waits no longer than this while one owner after the other does not answer.
 static constexpr Duration MaxAskTime = std::chrono::milliseconds(300);
-static constexpr Duration RetryWait = std::chrono::milliseconds(100);
-static constexpr Duration MinBackoff = std::chrono::seconds(2);
-static constexpr Duration MaxBackoff = std::chrono::seconds(30);
+static constexpr Duration RetryWait = std::chrono::milliseconds(200);
+static constexpr Duration MinBackoff = std::chrono::milliseconds(500);
+static constexpr Duration MaxBackoff = std::chrono::seconds(10);
+static constexpr Duration ProbeInterval = std::chrono::milliseconds(500);
+static constexpr std::size_t MaxProbes = 3;
+// Part of the limit that a node of another zone grants. The nodes of the target's zone may be cut
+// off and grant too.
+static constexpr double StandInPart = 0.25;
 
 GrantExchange::GrantExchange(VmId vm, ZoneName zone, PeerLink &peers, const NodeDirectory &nodes,
                              TargetLimits &limits, Metrics &metrics, TimerService &timers)
@@ -35,10 +42,10 @@
                                });
 }
 
-std::optional<GrantOwner> GrantExchange::ownerOf(const GrantRequest &request) const
+GrantDuty GrantExchange::dutyOf(const GrantRequest &request) const
 {
-    return findGrantOwner(m_nodes, m_backoff, m_vm, m_zone, request.limit.target, request.zone,
-                          m_timers.now());
+    return findGrantDuty(m_nodes, m_backoff, m_vm, m_zone, request.limit.target, request.zone,
+                         m_timers.now());
 }
 
 void GrantExchange::ask(const GrantRequest &request, Done done)
@@ -53,16 +60,16 @@
 
 void GrantExchange::askFrom(const GrantRequest &request, TimePoint askedAt, Done done)
 {
-    const std::optional<GrantOwner> owner = ownerOf(request);
-    if (!owner) {
-        done(grant(request));
+    const GrantDuty duty = dutyOf(request);
+    if (!duty.owner) {
+        done(grant(request, duty));
         return;
     }
     if (m_timers.now() - askedAt >= MaxAskTime) {
         done({{0, RetryWait}, std::nullopt});
         return;
     }
-    callOwner(*owner, request, AskTimeout,
+    callOwner(*duty.owner, request, AskTimeout,
               [this, request, askedAt,
                done = std::move(done)](const absl::StatusOr<GrantAnswer> &answer) {
                   if (answer.ok())
@@ -97,9 +104,25 @@
                  });
 }
 
-GrantAnswer GrantExchange::grant(const GrantRequest &request)
+// A node that answers again after others have taken its place would grant beside them as long as
+// they pass it over.
+void GrantExchange::probe(const std::vector<GrantOwner> &silent, const GrantRequest &request)
+{
+    if (silent.empty() || m_timers.now() - m_probedAt < ProbeInterval)
+        return;
+    m_probedAt = m_timers.now();
+    GrantRequest question = request;
+    question.count = 0;
+    question.isForwarded = true;
+    for (std::size_t i = 0; i < std::min(silent.size(), MaxProbes); ++i)
+        callOwner(silent[i], question, ProbeInterval, [](const absl::StatusOr<GrantAnswer> &) {});
+}
+
+GrantAnswer GrantExchange::grant(const GrantRequest &request, const GrantDuty &duty)
 {
+    probe(duty.silent, request);
     m_limits.merge(request.limit);
+    const double part = duty.isStandIn ? StandInPart : 1;
     GrantAnswer answer;
     const TargetLimit *const known = m_limits.find(request.limit.target, request.limit.startedAt);
     if (known)
@@ -108,8 +131,8 @@
         answer.granted.count = request.count;
     else
         answer.granted = m_grants.grant(request.limit.target, request.limit.startedAt,
-                                        known ? *known->perSecond : 0, request.use, request.count,
-                                        m_timers.now());
+                                        known ? *known->perSecond * part : 0, request.use,
+                                        request.count, m_timers.now());
     return answer;
 }
 
@@ -126,16 +149,16 @@
         return;
     }
     m_limits.merge(request->limit);
-    const std::optional<GrantOwner> owner = request->isForwarded ? std::nullopt : ownerOf(*request);
-    if (!owner) {
-        responder(encodeGrantAnswer(grant(*request), m_timers.now()));
+    const GrantDuty duty = dutyOf(*request);
+    if (!duty.owner || request->isForwarded) {
+        responder(encodeGrantAnswer(grant(*request, duty), m_timers.now()));
         return;
     }
     request->isForwarded = true;
-    callOwner(*owner, *request, ForwardTimeout,
+    callOwner(*duty.owner, *request, ForwardTimeout,
               [this, request = *request, responder](const absl::StatusOr<GrantAnswer> &answer) {
-                  responder(encodeGrantAnswer(answer.ok() ? *answer : grant(request),
-                                              m_timers.now()));
+                  responder(encodeGrantAnswer(
+                          answer.ok() ? *answer : grant(request, dutyOf(request)), m_timers.now()));
               });
 }
 
--- a/src/daemon/grantexchange.h
+++ b/src/daemon/grantexchange.h
@@ -31,8 +31,9 @@
     void askFrom(const GrantRequest &request, TimePoint askedAt, Done done);
     void callOwner(const GrantOwner &owner, const GrantRequest &request, Duration timeout,
                    std::function<void(const absl::StatusOr<GrantAnswer> &)> done);
-    std::optional<GrantOwner> ownerOf(const GrantRequest &request) const;
-    GrantAnswer grant(const GrantRequest &request);
+    GrantDuty dutyOf(const GrantRequest &request) const;
+    GrantAnswer grant(const GrantRequest &request, const GrantDuty &duty);
+    void probe(const std::vector<GrantOwner> &silent, const GrantRequest &request);
     void onQuestion(const Json::Value &message, const RpcResponder &responder);
 
     const VmId m_vm;
@@ -44,6 +45,7 @@
     TimerService &m_timers;
     TargetGrants m_grants;
     PeerBackoff m_backoff;
+    TimePoint m_probedAt{};
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/limits/grantowner.cpp
+++ b/src/limits/grantowner.cpp
@@ -1,61 +1,74 @@
 #include "limits/grantowner.h"
 
+#include <algorithm>
+#include <tuple>
+
 namespace currantwalk {
 
 namespace {
 
-/// Finds the first of the nodes that it is given, in the order by which a target ranks them.
-class FirstNode
+struct RankedNode
 {
-public:
-    explicit FirstNode(const TargetId &target) : m_seed(stableHash(target.text())) {}
+    std::uint64_t rank = 0;
+    VmId vm;
+    std::optional<NodeRecord> record; ///< Nothing for the node itself.
 
-    void add(const VmId &vm, std::optional<GrantOwner> owner)
+    bool operator<(const RankedNode &other) const
     {
-        const std::uint64_t rank = stableHash(vm.text(), m_seed);
-        if (m_isFound && rank >= m_rank)
-            return;
-        m_isFound = true;
-        m_rank = rank;
-        m_owner = std::move(owner);
+        return std::tie(rank, vm) < std::tie(other.rank, other.vm);
     }
+};
 
-    void addPeers(const NodeDirectory &nodes, const PeerBackoff &backoff, const ZoneName &zone,
-                  TimePoint now)
-    {
-        for (const auto &[vm, record] : nodes.peersIn(zone)) {
-            if (!backoff.isInBackoff(vm, record, now))
-                add(vm, GrantOwner{vm, record});
-        }
-    }
+} // namespace
 
-    bool isFound() const { return m_isFound; }
-    const std::optional<GrantOwner> &owner() const { return m_owner; }
+static void addPeers(std::vector<RankedNode> &ranked, const NodeDirectory &nodes,
+                     const ZoneName &zone, std::uint64_t seed)
+{
+    for (const auto &[vm, record] : nodes.peersIn(zone))
+        ranked.push_back({stableHash(vm.text(), seed), vm, record});
+}
 
-private:
-    std::uint64_t m_seed;
-    std::uint64_t m_rank = 0;
-    bool m_isFound = false;
-    std::optional<GrantOwner> m_owner; ///< Nothing for the node itself.
-};
+// Returns the first of the nodes that answers, and lists those before it.
+static const RankedNode *findFirst(std::vector<RankedNode> &ranked, const PeerBackoff &backoff,
+                                   TimePoint now, std::vector<GrantOwner> &silent)
+{
+    std::sort(ranked.begin(), ranked.end());
+    for (const RankedNode &node : ranked) {
+        if (!node.record || !backoff.isInBackoff(node.vm, *node.record, now))
+            return &node;
+        silent.push_back({node.vm, *node.record});
+    }
+    return nullptr;
+}
 
-} // namespace
+static std::optional<GrantOwner> ownerFrom(const RankedNode &node)
+{
+    return node.record ? std::optional(GrantOwner{node.vm, *node.record}) : std::nullopt;
+}
 
-std::optional<GrantOwner> findGrantOwner(const NodeDirectory &nodes, const PeerBackoff &backoff,
-                                         const VmId &self, const ZoneName &ownZone,
-                                         const TargetId &target, const ZoneName &targetZone,
-                                         TimePoint now)
+GrantDuty findGrantDuty(const NodeDirectory &nodes, const PeerBackoff &backoff, const VmId &self,
+                        const ZoneName &ownZone, const TargetId &target, const ZoneName &targetZone,
+                        TimePoint now)
 {
-    FirstNode first(target);
-    first.addPeers(nodes, backoff, targetZone, now);
+    const std::uint64_t seed = stableHash(target.text());
+    GrantDuty duty;
+    std::vector<RankedNode> ranked;
+    addPeers(ranked, nodes, targetZone, seed);
     if (ownZone == targetZone)
-        first.add(self, std::nullopt);
-    if (first.isFound())
-        return first.owner();
-    for (const ZoneName &zone : nodes.zones())
-        first.addPeers(nodes, backoff, zone, now);
-    first.add(self, std::nullopt);
-    return first.owner();
+        ranked.push_back({stableHash(self.text(), seed), self, std::nullopt});
+    if (const RankedNode *const first = findFirst(ranked, backoff, now, duty.silent)) {
+        duty.owner = ownerFrom(*first);
+        return duty;
+    }
+    duty.isStandIn = !ranked.empty();
+    ranked.clear();
+    for (const ZoneName &zone : nodes.zones()) {
+        if (zone != targetZone)
+            addPeers(ranked, nodes, zone, seed);
+    }
+    ranked.push_back({stableHash(self.text(), seed), self, std::nullopt});
+    duty.owner = ownerFrom(*findFirst(ranked, backoff, now, duty.silent));
+    return duty;
 }
 
 } // namespace currantwalk
--- a/src/limits/grantowner.h
+++ b/src/limits/grantowner.h
@@ -2,25 +2,36 @@
 #define CURRANTWALK_LIMITS_GRANTOWNER_H
 
 #include <optional>
+#include <vector>
 
 #include "membership/peerbackoff.h"
 
 namespace currantwalk {
 
-/// A node that grants the requests to a target with a limit.
+/// A node that may grant the requests to a target with a limit.
 struct GrantOwner
 {
     VmId vm;
     NodeRecord record;
 };
 
-/// Returns the peer that grants requests to \a target, or nothing if the node \a self does so. It
-/// is a node of the target's availability zone where one answers: whoever can reach the target can
-/// reach it too, also while the zone is cut off from others.
-std::optional<GrantOwner> findGrantOwner(const NodeDirectory &nodes, const PeerBackoff &backoff,
-                                         const VmId &self, const ZoneName &ownZone,
-                                         const TargetId &target, const ZoneName &targetZone,
-                                         TimePoint now);
+/// Which node grants the requests to a target, as one node sees it.
+struct GrantDuty
+{
+    std::optional<GrantOwner> owner; ///< Nothing if it is the node itself.
+    /// Whether none of the nodes of the target's zone answers, so that a node of another zone
+    /// grants.
+    bool isStandIn = false;
+    /// Nodes that would grant in its place if they answered.
+    std::vector<GrantOwner> silent;
+};
+
+/// Returns which node grants requests to \a target, as seen by the node \a self. It is a node of
+/// the target's availability zone where one answers: whoever can reach the target can reach it too,
+/// also while the zone is cut off from others.
+GrantDuty findGrantDuty(const NodeDirectory &nodes, const PeerBackoff &backoff, const VmId &self,
+                        const ZoneName &ownZone, const TargetId &target, const ZoneName &targetZone,
+                        TimePoint now);
 
 } // namespace currantwalk
 
--- a/src/limits/targetgrants.cpp
+++ b/src/limits/targetgrants.cpp
@@ -10,7 +10,7 @@
 // Requests that may be granted at once, and that streams may go on with beyond it. Together with
 // what is granted in 4 s and used half a second later this stays below 6 times the limit and 5.
 static constexpr double BaseBurst = 1;
-static constexpr double BurstSeconds = 0.75;
+static constexpr double BurstSeconds = 0.5;
 static constexpr double BaseOverdraft = 1;
 static constexpr double OverdraftSeconds = 0.5;
 // Nodes that are refused come back twice as often as there are requests to grant, as not each of
