--- a/src/daemon/tests/poisonsoak.cpp
+++ b/src/daemon/tests/poisonsoak.cpp
@@ -18,8 +18,10 @@
 static constexpr Duration Rundown = 30s;
 static constexpr Duration LookalikeGap = 100ms;
 
-PoisonSoak::PoisonSoak(std::uint64_t seed, std::size_t nodes)
+PoisonSoak::PoisonSoak(std::uint64_t seed, std::size_t nodes, bool doServersNameLimits)
     : m_random(seed),
+      m_limitRandom(seed ^ 0x4c),
+      m_doServersNameLimits(doServersNameLimits),
       m_fleet(fleetOptions(seed, nodes)),
       m_parts(m_fleet, partOptions(),
               {[this](const std::string &host, TimePoint when) { return isInTouch(host, when); },
@@ -199,6 +201,26 @@
     }
 }
 
+// One server of a service, or all, name a limit for some seconds, and another one after it.
+void PoisonSoak::nameLimits(Duration span)
+{
+    const Duration until = 4s + m_limitRandom.jitter(8s);
+    if (span < until)
+        return;
+    const std::string service = m_limitRandom.chance(0.5) ? "plain" : "engines";
+    const bool isOfAll = m_limitRandom.chance(0.3);
+    const std::size_t only = m_limitRandom.uniformBelow(m_fleet.servers.size());
+    for (std::size_t i = 0; i < m_fleet.servers.size(); ++i) {
+        SimServer &server = *m_fleet.servers[i];
+        if (i != only && !(isOfAll && server.options.service == service))
+            continue;
+        server.setLimit(m_limitRandom.chance(0.1) ? 0 : 0.3 + 20 * m_limitRandom.uniform());
+        if (m_limitRandom.chance(0.5))
+            m_fleet.timers.scheduleAfter(until, [&server] { server.setLimit(std::nullopt); });
+    }
+    m_fleet.timers.scheduleAfter(until, [this, left = span - until] { nameLimits(left); });
+}
+
 void PoisonSoak::turnRequestsAway(const SimServer &server, Duration span)
 {
     const bool isOfAll = m_random.chance(0.3);
@@ -265,6 +287,16 @@
     });
 }
 
+// Only what concerns the node itself excuses it.
+bool PoisonSoak::isBoundByLimits(const std::string &host, TimePoint when) const
+{
+    return std::none_of(m_disruptions.begin(), m_disruptions.end(), [&](const Disruption &each) {
+        const bool isMeant = each.host.empty() || each.host == host;
+        return isMeant && each.concern == Concern::Nodes && each.from <= when
+               && when <= each.until + Window;
+    });
+}
+
 // Servers that ended are back some seconds later.
 bool PoisonSoak::isCalm(const std::string &host, TimePoint when) const
 {
@@ -295,6 +327,13 @@
         if (heldOff > ToleratedHeldOff)
             violations +=
                     "a server that wanted nothing got " + std::to_string(heldOff) + " requests; ";
+        const double beyond = server->arrivalsBeyondLimit(
+                [this](const std::string &host, TimePoint, TimePoint when) {
+                    return !isBoundByLimits(host, when);
+                });
+        if (beyond > 0)
+            violations += "a server got " + std::to_string(beyond)
+                          + " requests more than its limit allows; ";
         if (const std::size_t late = server->arrivalsAfterLeaving(LeavingSlack, isExcused))
             violations += "a leaving server got " + std::to_string(late) + " requests; ";
     }
@@ -336,6 +375,8 @@
     m_fleet.startInnocents(150ms, Span);
     sendLookalikes(Span);
     m_parts.start();
+    if (m_doServersNameLimits)
+        nameLimits(Span);
     // Where disruptions are rare, nodes are in touch for longer, and more is asked of them.
     const Duration maxPause = m_random.chance(0.5) ? 3s : 15s;
     for (Duration elapsed(0); elapsed < Span;) {
--- a/src/daemon/tests/poisonsoak.h
+++ b/src/daemon/tests/poisonsoak.h
@@ -33,8 +33,10 @@
         std::uint64_t digest = 0; ///< Of all arrivals at servers; the same for runs that are alike.
     };
 
-    /// Chooses the number of nodes by the seed if \a nodes is 0.
-    explicit PoisonSoak(std::uint64_t seed, std::size_t nodes = 0);
+    /// Chooses the number of nodes by the seed if \a nodes is 0. With \a doServersNameLimits,
+    /// servers name limits of requests at random times too.
+    explicit PoisonSoak(std::uint64_t seed, std::size_t nodes = 0,
+                        bool doServersNameLimits = false);
 
     Report run();
 
@@ -61,12 +63,14 @@
     void disturbNode(std::size_t node, Duration span);
     void disturbServers(Duration span);
     void disturbStore(Duration span);
+    void nameLimits(Duration span);
     void turnRequestsAway(const SimServer &server, Duration span);
     void sendLookalikes(Duration span);
     void restart(std::size_t node, Duration downTime);
     void note(const std::string &host, Duration span, Concern concern = Concern::Nodes);
     void noteNode(std::size_t node, Duration span) { note(m_fleet.addressOf(node), span); }
     bool isInTouch(const std::string &host, TimePoint when) const;
+    bool isBoundByLimits(const std::string &host, TimePoint when) const;
     bool isCalm(const std::string &host, TimePoint when) const;
     bool isDisturbed(const std::string &host, TimePoint from, TimePoint until) const;
     std::size_t lateArrivals(const SimPoisonLog &log) const;
@@ -74,6 +78,8 @@
     std::uint64_t digest() const;
 
     RandomSource m_random;
+    RandomSource m_limitRandom;
+    const bool m_doServersNameLimits;
     EntryFleet m_fleet;
     std::vector<Disruption> m_disruptions;
     std::vector<std::string> m_paths; ///< Of the poisonous requests.
--- a/src/daemon/tests/poisonsoaktest.cpp
+++ b/src/daemon/tests/poisonsoaktest.cpp
@@ -43,3 +43,11 @@
         STRCMP_EQUAL("", report.violation.c_str());
     }
 }
+
+TEST(PoisonSoak, limitsHoldUnderRandomFaults)
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        const PoisonSoak::Report report = PoisonSoak(seed, 7, true).run();
+        STRCMP_EQUAL("", report.violation.c_str());
+    }
+}
