--- a/src/daemon/entrynodestore.cpp
+++ b/src/daemon/entrynodestore.cpp
@@ -3,6 +3,8 @@
 #include "daemon/entrynode.h"
 #include "daemon/poisonmessages.h"
 
+#include <algorithm>
+
 #include <absl/strings/numbers.h>
 
 #include "observe/logging.h"
@@ -328,6 +330,14 @@
                  });
 }
 
+// Requests name the target that they are meant for.
+static bool isWritableId(const std::string &key)
+{
+    return !key.empty() && std::all_of(key.begin(), key.end(), [](unsigned char character) {
+        return character > 0x20 && character < 0x7F;
+    });
+}
+
 // An entry that can't be read names no target to use.
 void EntryNode::takeTarget(const KeyedRecord &record)
 {
@@ -337,7 +347,10 @@
         m_targets.remove(id);
         return;
     }
-    const absl::StatusOr<TargetEntry> entry = m_bindings.readTarget(*record.value);
+    const absl::StatusOr<TargetEntry> entry =
+            isWritableId(record.key)
+                    ? m_bindings.readTarget(*record.value)
+                    : makeError(ErrorCode::InvalidRequest, "its key can't be written in a header");
     if (!entry.ok()) {
         logLine(LogPart::Targets, LogLevel::Warning,
                 "The entry " + record.key
--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -319,7 +319,7 @@
     };
     bindings.catalogKey = "config";
     bindings.readCatalog = &readCatalog;
-    bindings.readTarget = &readTarget;
+    bindings.readTarget = m_options.readTarget ? m_options.readTarget : &readTarget;
     return bindings;
 }
 
--- a/src/daemon/tests/entryfleet.h
+++ b/src/daemon/tests/entryfleet.h
@@ -39,6 +39,8 @@
         Duration maxKeyAge = std::chrono::seconds(3);
         /// Era that the store tells from the start; 0: it tells none.
         std::uint64_t storeEra = 0;
+        /// Reads the entries of servers in place of the fleet's own reader.
+        std::function<absl::StatusOr<TargetEntry>(const std::string &)> readTarget = nullptr;
     };
 
     /// The ends of callers' requests.
--- a/src/daemon/tests/simserver.cpp
+++ b/src/daemon/tests/simserver.cpp
@@ -69,6 +69,10 @@
     entry["endpoint"] = options.endpoint.toString();
     entry["leaving"] = isLeaving;
     entry["born"] = Json::UInt64(m_bornAt);
+    // The fields of the users' platform.
+    entry["address"] = options.endpoint.toString();
+    entry["state"] = isLeaving ? "draining" : "ready";
+    entry["slots"] = options.slots;
     m_store.append(TargetsTopic, m_id, writeJson(entry));
 }
 
--- a/src/daemon/topicmessages.cpp
+++ b/src/daemon/topicmessages.cpp
@@ -66,6 +66,9 @@
         json["outage_us"] = Json::UInt64(tail.origin.sinceOutage->count());
     Json::Value &rows = json["records"] = Json::Value(Json::arrayValue);
     for (const KeyedRecord &record : tail.records) {
+        // Such a key names nothing that nodes use, and the message could not be read.
+        if (!isValidUtf8(record.key))
+            continue;
         Json::Value row(Json::arrayValue);
         row.append(record.key);
         row.append(Json::UInt64(record.offset));
