A refusal that a target writes unasked refuses no request

What callers could see: 503, not run, for a request that a target had been sent and may run, from two kinds of bytes: - a refusal written before the request (refusalBeforeTheRequestIsNoAnswerToIt, red before: the target had the request); - on the own interface, a refusal written once more on a kept connection, read as the answer of the next request (refusalOfAPlainServiceThatIsWrittenOnceMoreMeetsNoOtherRequest, red before: the second request went out on the connection of the first).

Change: a connection on which bytes have arrived before the request is written is not used (nothing was sent, another target is tried; not with TLS, where they may belong to the handshake); calls to targets of the own interface use a connection each, as requests on the platform's interface have done (refusalThatIsWrittenOnceMoreMeetsNoOtherRequest shows that it can't happen there).

What remains: bytes that arrive between the write of a request and its first byte at the target can't be told from its answer where they carry no id.

--- a/src/daemon/targetlink.cpp
+++ b/src/daemon/targetlink.cpp
@@ -20,6 +20,9 @@
 {
     HttpCallOptions options;
     options.endpoint = target.endpoint;
+    // An answer that a target writes once more would be read as that of the next request, which is
+    // not told from it.
+    options.isConnectionKept = false;
     options.connectTimeout = ConnectTimeout;
     options.headTimeout = EngineIdleTimeout;
     options.idleTimeout = EngineIdleTimeout;
--- a/src/net/h2ocall.cpp
+++ b/src/net/h2ocall.cpp
@@ -4,6 +4,8 @@
 #include <cassert>
 #include <cctype>
 
+#include <sys/socket.h>
+
 #include "net/messagehead.h"
 
 namespace currantwalk {
@@ -137,18 +139,10 @@
     const std::shared_ptr<ClientExchange> self =
             static_cast<ClientExchange *>(client->data)->shared_from_this();
     const LibraryScope scope(self->m_isInLibrary);
-    if (error) {
-        self->releaseClient();
-        const absl::Status status = makeError(ErrorCode::ConnectFailed, error);
-        if (self->m_isStarting)
-            self->failFromLoop(status);
-        else
-            self->end(status);
-        return nullptr;
-    }
-    if (self->m_hooks.mayWrite && !self->m_hooks.mayWrite()) {
+    const absl::Status status =
+            error ? makeError(ErrorCode::ConnectFailed, error) : self->checkWritable();
+    if (!status.ok()) {
         self->releaseClient();
-        const absl::Status status = makeError(ErrorCode::Cancelled, "withdrawn before it was sent");
         if (self->m_isStarting)
             self->failFromLoop(status);
         else
@@ -160,6 +154,26 @@
     return &ClientExchange::onHead;
 }
 
+// Returns why the request may not be written to the connection that is open now.
+absl::Status ClientExchange::checkWritable() const
+{
+    if (hasEarlyBytes())
+        return makeError(ErrorCode::ConnectFailed, "the server wrote before the request");
+    if (m_hooks.mayWrite && !m_hooks.mayWrite())
+        return makeError(ErrorCode::Cancelled, "withdrawn before it was sent");
+    return absl::OkStatus();
+}
+
+// What has arrived before the request is written would be taken for its answer. On a connection
+// with TLS it may belong to the handshake.
+bool ClientExchange::hasEarlyBytes() const
+{
+    if (m_options.useTls)
+        return false;
+    char byte = 0;
+    return recv(h2o_socket_get_fd(m_client->sock), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 // From here on the library writes the request, perhaps before this returns.
 void ClientExchange::connected(h2o_iovec_t **buffers, std::size_t *bufferCount)
 {
--- a/src/net/h2ocall.h
+++ b/src/net/h2ocall.h
@@ -84,6 +84,8 @@
     void armDeadline(Duration delay, std::function<void()> expired);
     void armStep(Duration delay, void (ClientExchange::*step)());
     bool isSendable() const;
+    absl::Status checkWritable() const;
+    bool hasEarlyBytes() const;
     void buildHead();
 
     std::shared_ptr<ClientContext> m_context;
