--- a/src/daemon/tests/promptpartfleettest.cpp
+++ b/src/daemon/tests/promptpartfleettest.cpp
@@ -99,6 +99,28 @@
     }
 }
 
+TEST(PromptParts, firstPartThatCrashesOneServerInFiveOrFewerIsRefused)
+{
+    for (const double share : {0.3, 0.2, 0.15, 0.1}) {
+        build(7, 3);
+        PromptPartLoad::Options options = load(PromptPartLoad::Place::First);
+        options.crashShare = share;
+        play(options);
+        CHECK_EQUAL(0U, fleet->innocents.refusedAsPoisonous);
+    }
+}
+
+TEST(PromptParts, secondPartThatCrashesOneServerInFiveOrFewerIsRefused)
+{
+    for (const double share : {0.3, 0.2, 0.15, 0.1}) {
+        build(7, 3);
+        PromptPartLoad::Options options = load(PromptPartLoad::Place::Second);
+        options.crashShare = share;
+        play(options);
+        CHECK_EQUAL(0U, fleet->innocents.refusedAsPoisonous);
+    }
+}
+
 TEST(PromptParts, partThatSilencesServersIsRefused)
 {
     EntryFleet::Options options;
