--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -460,14 +460,14 @@
 std::vector<const ServiceTarget *> EntryNode::takingTargets(const std::string &service) const
 {
     std::vector<const ServiceTarget *> targets = m_targets.usable(service);
-    if (isAnyTargetSparing())
+    if (hasRestrictedTargets())
         std::erase_if(targets, [this](const ServiceTarget *each) {
             return timeUntilTaking(*each) > Duration::zero();
         });
     return targets;
 }
 
-bool EntryNode::isAnyTargetSparing() const
+bool EntryNode::hasRestrictedTargets() const
 {
     return !m_holdOffs.isEmpty() || !m_limits.isEmpty();
 }
@@ -497,7 +497,7 @@
                                        double spread)
 {
     const std::vector<const ServiceTarget *> taking = takingTargets(service);
-    if (isAnyTargetSparing() && taking.size() < m_targets.usable(service).size())
+    if (hasRestrictedTargets() && taking.size() < m_targets.usable(service).size())
         m_metrics.count("currantwalk_diverted_choices_total", {{"service", service}});
     const TimePoint now = m_loop.timers().now();
     const ServiceTarget *const best =
--- a/src/daemon/entrynode.h
+++ b/src/daemon/entrynode.h
@@ -92,7 +92,7 @@
     void onCatalogNote(const NodeRecord &peer, const CatalogNote &note, TimePoint sentAt);
     void fetchCatalog(const NodeRecord &peer);
     void takeTarget(const KeyedRecord &record);
-    bool isAnyTargetSparing() const;
+    bool hasRestrictedTargets() const;
     Duration timeUntilTaking(const ServiceTarget &target) const;
     void requestReport(const ServiceTarget &target);
     Duration timeUntilReturn(const std::string &service);
--- a/src/daemon/entrynodestore.cpp
+++ b/src/daemon/entrynodestore.cpp
@@ -419,6 +419,12 @@
     m_targets.applyLeavingNotice({send.target, send.startedAt});
 }
 
+static std::string limitText(const std::optional<double> &perSecond)
+{
+    return perSecond ? " names a limit of " + std::to_string(*perSecond) + " requests a second"
+                     : " names no limit any more";
+}
+
 void EntryNode::noteLimit(const TargetSendNote &send, const LimitNotice &notice)
 {
     if (notice.kind == LimitNotice::Kind::None && m_limits.isEmpty())
@@ -427,12 +433,10 @@
             m_limits.apply(send.target, send.startedAt, notice, send.sentAt, m_loop.timers().now());
     if (change == LimitChange::Unchanged)
         return;
-    std::string text = " names a limit that can't be read; what was known of it stays.";
-    if (change == LimitChange::Changed) {
-        const std::optional<double> limit = m_limits.limitOf(send.target, send.startedAt);
-        text = limit ? " names a limit of " + std::to_string(*limit) + " requests a second."
-                     : " names no limit any more.";
-    }
+    const std::string text =
+            change == LimitChange::Changed
+                    ? limitText(m_limits.limitOf(send.target, send.startedAt)) + '.'
+                    : " names a limit that can't be read; what was known of it stays.";
     logRequest(LogPart::Limits, LogLevel::Info, send.request,
                "Target " + send.target.text() + text);
 }
@@ -440,8 +444,11 @@
 // Passed on in turn, as not all nodes tell all others.
 void EntryNode::takeLimit(const TargetLimit &limit)
 {
-    if (m_limits.merge(limit))
-        m_loads.onChange();
+    if (!m_limits.merge(limit))
+        return;
+    logLine(LogPart::Limits, LogLevel::Info,
+            "Target " + limit.target.text() + limitText(limit.perSecond) + ", as a peer tells.");
+    m_loads.onChange();
 }
 
 // What the head of an answer says holds also where its body never ends.
--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -276,7 +276,8 @@
     m_services.timers.scheduleAfter(Duration::zero(), [this, alive = m_alive, exchange] {
         if (!*alive || !m_exchanges.contains(exchange))
             return;
-        m_call->onEnd(exchange, makeError(ErrorCode::RateLimited, "the target's limit is used up"),
+        m_call->onEnd(exchange,
+                      makeError(ErrorCode::RateLimited, "the target takes no further requests"),
                       false);
         finishIfSettled();
     });
