Tests of endless answers write after the request

EndlessAnswer and EndlessRelay failed since connections with bytes before the request are not used: their servers wrote as soon as the connection was accepted, at times before the request had been written, which is now refused.

--- a/src/daemon/tests/entrynodetest.cpp
+++ b/src/daemon/tests/entrynodetest.cpp
@@ -382,7 +382,10 @@
             const int fd = target.accept();
             if (fd >= 0)
                 targetSide = std::make_unique<RawSocket>(fd);
-            return fd >= 0;
+            if (targetSide)
+                targetSide->receive();
+            // Nothing may be written before the request.
+            return targetSide && targetSide->received().find("\r\n\r\n") != std::string::npos;
         }));
     }
 
--- a/src/net/tests/endlessanswertest.cpp
+++ b/src/net/tests/endlessanswertest.cpp
@@ -33,6 +33,7 @@
 
     void start()
     {
+        peer.reset();
         HttpCallOptions callOptions;
         callOptions.endpoint = listener.endpoint();
         callOptions.isConnectionKept = false;
@@ -45,7 +46,10 @@
             const int fd = listener.accept();
             if (fd >= 0)
                 peer = std::make_unique<RawSocket>(fd);
-            return fd >= 0;
+            if (peer)
+                peer->receive();
+            // Nothing may be written before the request.
+            return peer && peer->received().find("\r\n\r\n") != std::string::npos;
         }));
     }
 
