--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -1,5 +1,6 @@
 #include "base/json.h"
 
+#include <algorithm>
 #include <memory>
 #include <sstream>
 
@@ -152,17 +153,36 @@
     return true;
 }
 
+// Returns the length of the character that a text begins with; 0 if it begins with none.
+static std::size_t characterLength(std::string_view text)
+{
+    const std::size_t length = sequenceLength(static_cast<unsigned char>(text[0]));
+    return length <= text.size() && length != 0 && isValidSequence(text.substr(0, length)) ? length
+                                                                                          : 0;
+}
+
 bool isValidUtf8(std::string_view text)
 {
     while (!text.empty()) {
-        const std::size_t length = sequenceLength(static_cast<unsigned char>(text[0]));
-        if (length == 0 || length > text.size())
-            return false;
-        if (!isValidSequence(text.substr(0, length)))
+        const std::size_t length = characterLength(text);
+        if (length == 0)
             return false;
         text.remove_prefix(length);
     }
     return true;
 }
 
+std::string withValidUtf8(std::string_view text)
+{
+    static constexpr std::string_view ReplacementCharacter = "\xEF\xBF\xBD";
+    std::string valid;
+    valid.reserve(text.size());
+    while (!text.empty()) {
+        const std::size_t length = characterLength(text);
+        valid.append(length == 0 ? ReplacementCharacter : text.substr(0, length));
+        text.remove_prefix(std::max<std::size_t>(length, 1));
+    }
+    return valid;
+}
+
 } // namespace currantwalk
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -25,6 +25,8 @@
 
 /// Returns whether \a text is well-formed UTF-8.
 bool isValidUtf8(std::string_view text);
+/// Returns \a text with each byte that is no part of well-formed UTF-8 replaced by U+FFFD.
+std::string withValidUtf8(std::string_view text);
 
 } // namespace currantwalk
 
--- a/src/daemon/entrynodestore.cpp
+++ b/src/daemon/entrynodestore.cpp
@@ -78,6 +78,13 @@
         onTopicRestored(SharedTopic::Targets, earlier, era);
     };
     events.onPeerOutage = [this](Duration sinceOutage) { m_targets.onPeerOutage(sinceOutage); };
+    events.onScanIncomplete = [this](const std::string &after, const absl::Status &status) {
+        logLine(LogPart::Targets, LogLevel::Warning,
+                "The list of targets can't be read after the key " + after + ": "
+                        + std::string(status.message())
+                        + "; targets after it are known when they write again.");
+        m_metrics.count("currantwalk_incomplete_scans_total", {{"topic", "targets"}});
+    };
     events.onReadFailed = [this](const absl::Status &status) {
         logLine(LogPart::Targets, LogLevel::Warning,
                 "The targets can't be read: " + std::string(status.message()));
@@ -91,6 +98,7 @@
     KeyedTopicFollower::Options options;
     options.wait = TargetsWait;
     options.pause = TargetsPause;
+    options.areRecordsRenewed = true;
     m_targetsFollower = KeyedTopicFollower::create(
             options, m_topics.hooks(SharedTopic::Targets, m_bindings.targetsTopic),
             m_topics.callbacks(SharedTopic::Targets, std::move(events)), m_loop.timers(), m_random);
--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -63,6 +63,8 @@
                                                       server, "t" + std::to_string(i)));
         servers.back()->start();
     }
+    if (options.onCreated)
+        options.onCreated(*this);
     m_nodes.resize(options.nodes);
     for (std::size_t i = 0; i < options.nodes; ++i)
         startNode(i);
@@ -134,7 +136,7 @@
     RunningNode &running = m_nodes[index];
     running.loop = std::make_unique<SimEventLoop>(net, host);
     running.alive = std::make_shared<bool>(true);
-    EntryBindings own = bindings(host, running.alive);
+    EntryBindings own = bindings(running, host);
     running.node = std::move(EntryNode::create(settings, std::move(own), *running.loop).value());
 }
 
@@ -272,8 +274,16 @@
     return answer;
 }
 
-EntryBindings EntryFleet::bindings(const std::string &host, const std::weak_ptr<bool> &alive)
+KeyedTopicHooks EntryFleet::topicHooks(const RunningNode &running, const std::string &host,
+                                       const std::string &topic)
 {
+    return m_options.storeReader ? m_options.storeReader(*running.loop, topic)
+                                 : store.topic(topic, host);
+}
+
+EntryBindings EntryFleet::bindings(const RunningNode &running, const std::string &host)
+{
+    const std::weak_ptr<bool> alive = running.alive;
     EntryBindings bindings;
     bindings.readRequest = &readRequest;
     bindings.writeSend = &writeSend;
@@ -300,9 +310,9 @@
         return findHeader(response.head.headers, "leaving").has_value();
     };
     bindings.readinessPath = "/ready";
-    bindings.catalogTopic = store.topic(CatalogTopic, host);
-    bindings.targetsTopic = store.topic(TargetsTopic, host);
-    bindings.rosterTopic = store.topic(RosterTopic, host);
+    bindings.catalogTopic = topicHooks(running, host, CatalogTopic);
+    bindings.targetsTopic = topicHooks(running, host, TargetsTopic);
+    bindings.rosterTopic = topicHooks(running, host, RosterTopic);
     bindings.writeRoster = [this, host, alive](const std::string &key,
                                                const std::optional<std::string> &value,
                                                std::function<void(const absl::Status &)> callback) {
--- a/src/daemon/tests/entryfleet.h
+++ b/src/daemon/tests/entryfleet.h
@@ -39,6 +39,11 @@
         Duration maxKeyAge = std::chrono::seconds(3);
         /// Era that the store tells from the start; 0: it tells none.
         std::uint64_t storeEra = 0;
+        /// Called before the first node starts.
+        std::function<void(EntryFleet &fleet)> onCreated = nullptr;
+        /// Makes the reader of a topic for a node, in place of one that calls \c store directly.
+        std::function<KeyedTopicHooks(EventLoop &loop, const std::string &topic)> storeReader =
+                nullptr;
         /// Reads the entries of servers in place of the fleet's own reader.
         std::function<absl::StatusOr<TargetEntry>(const std::string &)> readTarget = nullptr;
     };
@@ -144,7 +149,9 @@
         std::string body;
     };
 
-    EntryBindings bindings(const std::string &host, const std::weak_ptr<bool> &alive);
+    EntryBindings bindings(const RunningNode &running, const std::string &host);
+    KeyedTopicHooks topicHooks(const RunningNode &running, const std::string &host,
+                               const std::string &topic);
     bool isOneOf(const std::set<std::size_t> &nodes, const std::string &host) const;
     bool isCutFrom(const std::string &host, const std::string &other) const;
     void repeatInnocents(std::size_t index, Duration gap, TimePoint until);
--- a/src/daemon/tests/simnet.cpp
+++ b/src/daemon/tests/simnet.cpp
@@ -191,10 +191,22 @@
     conversation->hooks = std::move(hooks);
     conversation->number = ++m_lastConversation;
     m_conversations.emplace(conversation->number, conversation);
-    connect(conversation, options);
+    if (isSendable(conversation->request))
+        connect(conversation, options);
+    else
+        refuseUnsendable(conversation);
     return std::make_unique<SimCall>(*this, conversation);
 }
 
+// Fails as the client on the loop does.
+void SimNet::refuseUnsendable(const std::shared_ptr<SimConversation> &conversation)
+{
+    conversation->deadline = m_timers.scheduleAfter(Duration::zero(), [this, conversation] {
+        endClient(conversation,
+                  makeError(ErrorCode::InvalidRequest, "malformed method, path or header"));
+    });
+}
+
 void SimNet::connect(const std::shared_ptr<SimConversation> &conversation,
                      const HttpCallOptions &options)
 {
--- a/src/daemon/tests/simnet.h
+++ b/src/daemon/tests/simnet.h
@@ -81,6 +81,7 @@
 private:
     friend class SimExchange;
 
+    void refuseUnsendable(const std::shared_ptr<SimConversation> &conversation);
     void connect(const std::shared_ptr<SimConversation> &conversation,
                  const HttpCallOptions &options);
     void accept(const std::shared_ptr<SimConversation> &conversation);
--- a/src/daemon/tests/simstore.cpp
+++ b/src/daemon/tests/simstore.cpp
@@ -13,7 +13,8 @@
 KeyedTopicHooks SimStore::topic(const std::string &name, const std::string &host)
 {
     KeyedTopicHooks hooks;
-    hooks.readNewest = [this, name, host](const std::string &, KeyedTopicHooks::PageCallback done) {
+    hooks.readNewest = [this, name, host](const std::string &after,
+                                          KeyedTopicHooks::PageCallback done) {
         ++m_topics[name].calls;
         if (unanswered.contains(host)) {
             m_timers.scheduleAfter(CallTimeout, [this, host, done = std::move(done)] {
@@ -22,20 +23,11 @@
             return;
         }
         const bool isReached = canReach(host);
-        answer(host, [this, name, isReached, done = std::move(done)] {
-            if (!isReached)
-                return done(makeError(ErrorCode::LogUnavailable, "unreachable"));
-            KeyedPage page;
-            std::map<std::string, KeyedRecord> records;
-            for (const KeyedRecord &record : m_topics[name].records)
-                records[record.key] = record;
-            for (auto &[key, record] : records) {
-                if (record.value)
-                    page.records.push_back(record);
-            }
-            page.end = m_topics[name].records.size();
-            page.origin.era = era;
-            done(std::move(page));
+        answer(host, [this, name, after, isReached, done = std::move(done)] {
+            if (isReached)
+                done(page(m_topics[name], after));
+            else
+                done(makeError(ErrorCode::LogUnavailable, "unreachable"));
         });
     };
     hooks.readTail = [this, name, host](LogOffset from, Duration wait,
@@ -64,6 +56,31 @@
     return hooks;
 }
 
+KeyedPage SimStore::page(const Topic &topic, const std::string &after) const
+{
+    std::map<std::string, KeyedRecord> newest;
+    for (const KeyedRecord &record : topic.records)
+        newest[record.key] = record;
+    KeyedPage page;
+    page.end = topic.records.size();
+    page.origin.era = era;
+    for (auto it = after.empty() ? newest.begin() : newest.upper_bound(after); it != newest.end();
+         ++it) {
+        if (!it->second.value)
+            continue;
+        page.hasMore = pageSize != 0 && page.records.size() == pageSize;
+        if (page.hasMore)
+            break;
+        page.records.push_back(it->second);
+    }
+    return page;
+}
+
+void SimStore::compact(const std::string &topic)
+{
+    m_topics[topic].first = m_topics[topic].records.size();
+}
+
 void SimStore::answer(const std::string &host, std::function<void()> action)
 {
     m_timers.scheduleAfter(latency, [this, host, action = std::move(action)] {
@@ -84,7 +101,7 @@
     answer(waiting.host, [this, &topic, waiting] {
         if (!canReach(waiting.host))
             return waiting.done(makeError(ErrorCode::LogUnavailable, "unreachable"));
-        if (waiting.from > topic.records.size())
+        if (waiting.from > topic.records.size() || waiting.from < topic.first)
             return waiting.done(makeError(ErrorCode::LogRecordsExpired, "no such offset"));
         KeyedTail tail;
         tail.origin.era = era;
@@ -138,6 +155,7 @@
         const auto end = std::upper_bound(topic.writtenAt.begin(), topic.writtenAt.end(), copiedAt);
         topic.writtenAt.erase(end, topic.writtenAt.end());
         topic.records.resize(topic.writtenAt.size());
+        topic.first = std::min<LogOffset>(topic.first, topic.records.size());
         for (const auto &[number, waiting] : std::exchange(topic.waiting, {}))
             answer(waiting.host, [done = waiting.done] {
                 done(makeError(ErrorCode::LogAnswerLost, "the store was restored"));
--- a/src/daemon/tests/simstore.h
+++ b/src/daemon/tests/simstore.h
@@ -39,6 +39,11 @@
     std::set<std::string> unanswered;
     /// Whether calls are refused without being done.
     bool isBusy = false;
+    /// Most records of a page of newest records, which are in the order of their keys; 0: a page
+    /// has all.
+    std::size_t pageSize = 0;
+    /// Deletes the history of a topic: reads of the tail from before its end fail.
+    void compact(const std::string &topic);
     /// From a call to its answer, beside the wait of a read.
     Duration latency = std::chrono::milliseconds(4);
     /// Returns whether \a host reaches the store; all do if it is not set.
@@ -59,6 +64,7 @@
     {
         std::vector<KeyedRecord> records;
         std::vector<TimePoint> writtenAt; ///< Of each record.
+        LogOffset first = 0;              ///< Reads of the tail from before it fail.
         std::map<std::uint64_t, Reader> waiting;
         std::uint64_t calls = 0;
     };
@@ -67,6 +73,7 @@
     {
         return !isBusy && (!isReachable || isReachable(host));
     }
+    KeyedPage page(const Topic &topic, const std::string &after) const;
     void answer(const std::string &host, std::function<void()> action);
     void answerTail(Topic &topic, std::uint64_t reader);
 
--- a/src/log/keyedtopicfollower.cpp
+++ b/src/log/keyedtopicfollower.cpp
@@ -5,6 +5,9 @@
 
 namespace currantwalk {
 
+// A page that can't be read this many times in a row is taken to stay so.
+static constexpr std::uint32_t MaxPageFailures = 4;
+
 std::unique_ptr<KeyedTopicFollower>
 KeyedTopicFollower::create(const Options &options, KeyedTopicHooks hooks,
                            KeyedTopicCallbacks events, TimerService &timers, RandomSource &random)
@@ -42,6 +45,8 @@
     m_scannedKeys.clear();
     m_after.clear();
     m_readFrom.reset();
+    m_renewedSince.reset();
+    m_unlisted.clear();
     readPage();
 }
 
@@ -100,6 +105,9 @@
 {
     if (!isEraSettled && !isSettledAt(when))
         return;
+    if (m_renewedSince && when < *m_renewedSince + m_options.restoreGrace)
+        return;
+    removeUnlisted();
     if (m_options.isContentCurrent && !m_options.isContentCurrent())
         return;
     m_isProofDue = false;
@@ -119,7 +127,10 @@
 void KeyedTopicFollower::handlePage(const absl::StatusOr<KeyedPage> &page)
 {
     if (!page.ok()) {
-        handleFailure(page.status());
+        if (isScanBlocked(page.status()))
+            abandonScan(page.status());
+        else
+            handleFailure(page.status());
         return;
     }
     switch (checkEra(page->origin)) {
@@ -146,15 +157,59 @@
         m_scanProvenAt.reset();
     else if (m_scanProvenAt)
         m_scanProvenAt = std::min(*m_scanProvenAt, m_sentAt + *page->origin.provenAfter);
+    const std::size_t scanned = m_scannedKeys.size();
     for (const KeyedRecord &record : page->records) {
         m_scannedKeys[record.key] = record.offset;
         m_after = record.key;
         handleRecord(record);
     }
-    if (page->hasMore && !page->records.empty())
+    if (!page->hasMore)
+        finishScan();
+    else if (m_scannedKeys.size() > scanned)
         readPage();
     else
-        finishScan();
+        abandonScan(makeError(ErrorCode::JsonInvalid, "a page has no further key"));
+}
+
+// An answer that can't be read is the page's fault, unlike a lost or refused one.
+bool KeyedTopicFollower::isScanBlocked(const absl::Status &failure) const
+{
+    const ErrorCode code = errorCode(failure);
+    return m_readFrom && m_failures + 1 >= MaxPageFailures
+           && (code == ErrorCode::JsonInvalid || code == ErrorCode::TargetProtocolError);
+}
+
+void KeyedTopicFollower::abandonScan(const absl::Status &reason)
+{
+    const absl::Status status = makeError(ErrorCode::JsonInvalid,
+                                          "the keys after \"" + m_after + "\" can't be read: "
+                                                  + std::string(reason.message()));
+    if (!m_options.areRecordsRenewed) {
+        handleFailure(status);
+        return;
+    }
+    if (m_events.onScanIncomplete)
+        m_events.onScanIncomplete(m_after, reason);
+    for (const auto &[key, offset] : m_offsets) {
+        if (m_scannedKeys.find(key) == m_scannedKeys.end())
+            m_unlisted.insert(key);
+    }
+    m_scannedKeys.clear();
+    m_isScanComplete = true;
+    handleSuccess();
+    m_renewedSince = m_timers.now();
+    if (m_events.onPosition)
+        m_events.onPosition(m_era, *m_readFrom);
+    readTail();
+}
+
+void KeyedTopicFollower::removeUnlisted()
+{
+    for (const std::string &key : std::exchange(m_unlisted, {})) {
+        m_offsets.erase(key);
+        m_events.onKeyRemoved(key);
+    }
+    m_renewedSince.reset();
 }
 
 void KeyedTopicFollower::finishScan()
@@ -253,6 +308,7 @@
     if (known != m_offsets.end() && known->second >= record.offset)
         return;
     m_unconfirmed.erase(record.key);
+    m_unlisted.erase(record.key);
     if (record.value)
         m_offsets[record.key] = record.offset;
     else
@@ -295,8 +351,12 @@
 void KeyedTopicFollower::handleSuccess()
 {
     m_failures = 0;
-    if (std::exchange(m_isLost, false))
-        m_events.onRecovered();
+    if (!std::exchange(m_isLost, false))
+        return;
+    // Writers that could not reach the store either renew their records from now on.
+    if (m_renewedSince)
+        m_renewedSince = m_timers.now();
+    m_events.onRecovered();
 }
 
 } // namespace currantwalk
--- a/src/log/keyedtopicfollower.h
+++ b/src/log/keyedtopicfollower.h
@@ -91,6 +91,9 @@
     std::function<void(std::uint64_t era, LogOffset next)> onPosition;
     /// A peer that passes on the topic could not read the store until \a sinceOutage ago.
     std::function<void(Duration sinceOutage)> onPeerOutage;
+    /// A scan ended early: the keys after \a after can't be read, because of \a status. Only called
+    /// with Options::areRecordsRenewed.
+    std::function<void(const std::string &after, const absl::Status &status)> onScanIncomplete;
     /// Reading the topic fails, or works again.
     std::function<void(const absl::Status &status)> onReadFailed;
     std::function<void()> onRecovered;
@@ -113,6 +116,9 @@
         /// quick succession take one call.
         Duration pause{0};
         Duration restoreGrace = RestoreGrace;
+        /// Whether the writers write each record again within restoreGrace. A scan that can't be
+        /// continued is then completed by reading the tail for that time; else it is tried again.
+        bool areRecordsRenewed = false;
         /// Returns whether the writers have had that time in an era; asked in the first era that
         /// the follower sees, as it can't tell how long ago it began. Empty: they have.
         std::function<bool(std::uint64_t era)> isEraSettled;
@@ -158,6 +164,9 @@
     void readPage();
     void handlePage(const absl::StatusOr<KeyedPage> &page);
     void finishScan();
+    void abandonScan(const absl::Status &reason);
+    bool isScanBlocked(const absl::Status &failure) const;
+    void removeUnlisted();
     void readTail();
     void handleTail(const absl::StatusOr<KeyedTail> &tail);
     void handleRecord(const KeyedRecord &record);
@@ -181,6 +190,10 @@
     /// Keys known from before the store was restored that have not been read since.
     std::set<std::string> m_unconfirmed;
     TimerId m_restoreTimer = NoTimer;
+    /// From when on the tail completes a scan that was abandoned; nothing if none was.
+    std::optional<TimePoint> m_renewedSince;
+    /// Known keys that the abandoned scan did not reach, and that have not been read since.
+    std::set<std::string> m_unlisted;
     std::string m_after;
     std::optional<LogOffset> m_readFrom;
     std::optional<TimePoint> m_scanProvenAt; ///< Nothing if a page of the scan proves nothing.
--- a/src/net/h2ocall.cpp
+++ b/src/net/h2ocall.cpp
@@ -43,26 +43,6 @@
     return lower;
 }
 
-static bool isFieldText(std::string_view text)
-{
-    return std::none_of(text.begin(), text.end(),
-                        [](unsigned char c) { return (c < 0x20 && c != '\t') || c == 0x7F; });
-}
-
-static bool isToken(std::string_view text)
-{
-    return !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char c) {
-        return c > 0x20 && c < 0x7F && c != ':';
-    });
-}
-
-static bool isPath(std::string_view text)
-{
-    return !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char c) {
-        return c > 0x20 && c != 0x7F;
-    });
-}
-
 // The library names its failures in text: those of the socket begin alike.
 static absl::Status exchangeError(std::string_view text)
 {
@@ -90,7 +70,7 @@
 
 void ClientExchange::start()
 {
-    if (!isSendable()) {
+    if (!isSendable(m_request)) {
         failFromLoop(makeError(ErrorCode::InvalidRequest, "malformed method, path or header"));
         return;
     }
@@ -104,16 +84,6 @@
     m_isStarting = false;
 }
 
-bool ClientExchange::isSendable() const
-{
-    if (!isToken(m_request.method) || !isPath(m_request.path))
-        return false;
-    return std::all_of(m_request.headers.begin(), m_request.headers.end(),
-                       [](const HttpHeader &header) {
-                           return isToken(header.name) && isFieldText(header.value);
-                       });
-}
-
 void ClientExchange::buildHead()
 {
     m_head = m_request.method + ' ' + m_request.path + " HTTP/1.1\r\n";
--- a/src/net/h2ocall.h
+++ b/src/net/h2ocall.h
@@ -83,7 +83,6 @@
     void checkIdle();
     void armDeadline(Duration delay, std::function<void()> expired);
     void armStep(Duration delay, void (ClientExchange::*step)());
-    bool isSendable() const;
     absl::Status checkWritable() const;
     bool hasEarlyBytes() const;
     void buildHead();
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -1,7 +1,56 @@
 #include "net/http.h"
 
+#include <algorithm>
+
+#include <absl/strings/ascii.h>
+
 namespace currantwalk {
 
+static bool isFieldText(std::string_view text)
+{
+    return std::none_of(text.begin(), text.end(),
+                        [](unsigned char c) { return (c < 0x20 && c != '\t') || c == 0x7F; });
+}
+
+static bool isToken(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+        return c > 0x20 && c < 0x7F && c != ':';
+    });
+}
+
+static bool isPath(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+        return c > 0x20 && c != 0x7F;
+    });
+}
+
+bool isSendable(const HttpRequest &request)
+{
+    return isToken(request.method) && isPath(request.path)
+           && std::all_of(request.headers.begin(), request.headers.end(),
+                          [](const HttpHeader &header) {
+                              return isToken(header.name) && isFieldText(header.value);
+                          });
+}
+
+// h2o_uri_escape() keeps '&', '+' and '=', which delimit the values of a query.
+std::string percentEncoded(std::string_view text)
+{
+    static constexpr std::string_view Unreserved = "-._~";
+    static constexpr std::string_view Digits = "0123456789ABCDEF";
+    std::string encoded;
+    for (const char character : text) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (absl::ascii_isalnum(byte) || Unreserved.find(character) != std::string_view::npos)
+            encoded += character;
+        else
+            encoded.append({'%', Digits[byte >> 4U], Digits[byte & 0xFU]});
+    }
+    return encoded;
+}
+
 std::optional<std::string_view> findHeader(const HttpHeaders &headers, std::string_view name)
 {
     for (const HttpHeader &header : headers) {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -36,6 +36,13 @@
     std::string body;
 };
 
+/// Returns whether method, path and fields can be written as the head of a message.
+bool isSendable(const HttpRequest &request);
+
+/// Returns \a text as part of a path or as a value of a query: all bytes but letters, digits and
+/// "-._~" percent-encoded.
+std::string percentEncoded(std::string_view text);
+
 /// Status line and fields of an answer.
 struct HttpResponseHead
 {
