Stop runs whose connection was closed or lost

Cause: the end of a connection was taken for the end of the run. The call for a copy never asked the source to stop.

Change: RunStopper tells the server to stop, by the call for a last copy, 100 ms after a connection of an unfinished run was closed or lost: moves, resumptions from backups and without, failed resumptions, callers that left, deadlines. Servers that end runs by themselves answer that there is none. Refused and lost calls are made again with growing pauses; the copy is freed.

--- /dev/null
+++ b/src/calls/runstopper.h
@@ -0,0 +1,103 @@
+#ifndef CURRANTWALK_CALLS_RUNSTOPPER_H
+#define CURRANTWALK_CALLS_RUNSTOPPER_H
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/endpoint.h"
+#include "base/ids.h"
+#include "base/timerservice.h"
+
+namespace currantwalk {
+
+/// A run whose connection the node has closed, or lost, before its answer was complete.
+struct AbandonedRun
+{
+    RequestId id;
+    TargetId target;
+    Incarnation startedAt = 0; ///< Of the target, as its entry said.
+    Endpoint endpoint;         ///< Of the target.
+    ZoneName zone;             ///< Of the target.
+    Endpoint destination;      ///< Of another target, which the call that stops a run has to name.
+};
+
+/// What a target answered to the call that stops a run.
+enum class RunStopResult {
+    Stopped,
+    NoSuchRun,
+    Refused,     ///< Not now; the run may continue.
+    Unreachable, ///< No connection could be opened.
+    Unknown,     ///< The call may have been carried out.
+};
+
+/// Returns "stopped", "no-such-run", "refused", "unreachable" or "unknown".
+std::string_view runStopResultName(RunStopResult result);
+
+struct RunStopAnswer
+{
+    RunStopResult result = RunStopResult::Unknown;
+    std::string handle; ///< Of the copy that the call made; empty if there is none.
+};
+
+/// Stops runs that targets continue after the connection of their request has been closed. A target
+/// has some time to end the run by itself; then it is told to, until it says that there is no such
+/// run, or a number of calls has failed.
+class RunStopper
+{
+public:
+    /// Time for a target to notice that the connection was closed.
+    static constexpr Duration CloseNoticeTime = std::chrono::milliseconds(100);
+    /// Time from a call that failed to the next; doubled after each.
+    static constexpr Duration RetryGap = std::chrono::milliseconds(50);
+    static constexpr std::uint32_t MaxCalls = 8;
+
+    struct Hooks
+    {
+        using Callback = std::function<void(const RunStopAnswer &)>;
+        /// Tells the target to stop the run. The callback must not be called from within the call.
+        std::function<void(const AbandonedRun &run, Callback callback)> stopRun;
+        /// Frees the copy that stopping a run has made.
+        std::function<void(const AbandonedRun &run, const std::string &handle)> freeCopy;
+        /// Reports how the attempts to stop a run have ended; may be empty.
+        std::function<void(const AbandonedRun &run, RunStopResult result)> onEnded;
+    };
+
+    static std::unique_ptr<RunStopper> create(Hooks hooks, TimerService &timers);
+    ~RunStopper();
+    RunStopper(const RunStopper &) = delete;
+    RunStopper &operator=(const RunStopper &) = delete;
+
+    void add(AbandonedRun run);
+    /// Called when the request \a id is about to be sent to \a target again. A stop would end the
+    /// new run.
+    void cancel(const RequestId &id, const TargetId &target);
+    /// Returns the number of runs that may continue.
+    std::size_t size() const { return m_runs.size(); }
+
+private:
+    struct Entry
+    {
+        AbandonedRun run;
+        std::uint32_t calls = 0;
+        TimerId timer = NoTimer;
+    };
+
+    RunStopper(Hooks hooks, TimerService &timers);
+
+    void schedule(std::uint64_t number, Duration delay);
+    void call(std::uint64_t number);
+    void onAnswer(std::uint64_t number, const RunStopAnswer &answer);
+
+    const Hooks m_hooks;
+    TimerService &m_timers;
+    std::map<std::uint64_t, Entry> m_runs; ///< By number.
+    std::uint64_t m_lastNumber = 0;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace currantwalk
+
+#endif // CURRANTWALK_CALLS_RUNSTOPPER_H
--- /dev/null
+++ b/src/calls/tests/runstoppertest.cpp
@@ -0,0 +1,103 @@
+#include <string>
+#include <vector>
+
+#include "base/virtualtimerservice.h"
+#include "calls/runstopper.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantwalk;
+using namespace std::chrono_literals;
+
+/// Calls that stop runs, answered explicitly by the test.
+TEST_GROUP(RunStopper)
+{
+    VirtualTimerService timers;
+    std::vector<RunStopper::Hooks::Callback> calls;
+    std::vector<TimePoint> calledAt;
+    std::vector<std::string> freed;
+    std::vector<RunStopResult> ends;
+    std::unique_ptr<RunStopper> stopper;
+
+    void setup() override
+    {
+        RunStopper::Hooks hooks;
+        hooks.stopRun = [this](const AbandonedRun &, RunStopper::Hooks::Callback callback) {
+            calledAt.push_back(timers.now());
+            calls.push_back(std::move(callback));
+        };
+        hooks.freeCopy = [this](const AbandonedRun &, const std::string &handle) {
+            freed.push_back(handle);
+        };
+        hooks.onEnded = [this](const AbandonedRun &, RunStopResult result) {
+            ends.push_back(result);
+        };
+        stopper = RunStopper::create(std::move(hooks), timers);
+    }
+
+    static AbandonedRun run(const char *id = "r", const char *target = "a")
+    {
+        AbandonedRun run;
+        run.id = RequestId(id);
+        run.target = TargetId(target);
+        return run;
+    }
+};
+
+TEST(RunStopper, stopsARunSoonAndFreesItsCopy)
+{
+    stopper->add(run());
+    timers.advance(250ms);
+    LONGS_EQUAL(1, calls.size());
+    calls[0]({RunStopResult::Stopped, "h"});
+    LONGS_EQUAL(1, freed.size());
+    CHECK(ends.at(0) == RunStopResult::Stopped);
+    timers.advance(1min);
+    LONGS_EQUAL(1, calls.size());
+    LONGS_EQUAL(0, stopper->size());
+}
+
+TEST(RunStopper, aRunThatHasEndedNeedsNoFurtherCall)
+{
+    stopper->add(run());
+    timers.advance(250ms);
+    calls[0]({RunStopResult::NoSuchRun, {}});
+    timers.advance(1min);
+    LONGS_EQUAL(1, calls.size());
+    LONGS_EQUAL(0, freed.size());
+}
+
+TEST(RunStopper, refusedAndLostCallsAreRepeatedUpToTheirLimit)
+{
+    stopper->add(run());
+    for (std::uint32_t i = 0; i < RunStopper::MaxCalls; ++i) {
+        timers.advance(30s);
+        LONGS_EQUAL(i + 1, calls.size());
+        calls[i]({i % 2 == 0 ? RunStopResult::Refused : RunStopResult::Unknown, {}});
+    }
+    timers.advance(1min);
+    LONGS_EQUAL(RunStopper::MaxCalls, calls.size());
+    LONGS_EQUAL(1, ends.size());
+    LONGS_EQUAL(0, stopper->size());
+}
+
+TEST(RunStopper, aCopyMadeByACallThatCameTooLateIsFreed)
+{
+    stopper->add(run());
+    timers.advance(250ms);
+    stopper->cancel(RequestId("r"), TargetId("a"));
+    calls[0]({RunStopResult::Stopped, "h"});
+    LONGS_EQUAL(1, freed.size());
+    LONGS_EQUAL(0, ends.size());
+}
+
+// Guards against a stop that ends the run of the same request that began later.
+TEST(RunStopper, aRequestThatIsSentToTheTargetAgainIsNotStopped)
+{
+    stopper->add(run());
+    stopper->add(run("other"));
+    stopper->add(run("r", "b"));
+    stopper->cancel(RequestId("r"), TargetId("a"));
+    timers.advance(250ms);
+    LONGS_EQUAL(2, calls.size());
+}
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -4,6 +4,7 @@
 
 #include "base/unixtime.h"
 #include "daemon/requestfingerprint.h"
+#include "daemon/runstopcalls.h"
 #include "observe/logging.h"
 
 namespace currantwalk {
@@ -109,7 +110,8 @@
       m_poisonExchange(settings.zone, *m_poison, m_peers, m_roster,
                        {m_bindings.writeRoster, m_bindings.unixMilliseconds}, loop.timers(),
                        m_random),
-      m_services(relayServices())
+      m_services(relayServices()),
+      m_runStopper(RunStopper::create(runStopHooks(m_services), loop.timers()))
 {
 }
 
@@ -211,7 +213,7 @@
         logLine(LogPart::Drain, LogLevel::Info,
                 "Phase is now " + std::string(drainPhaseName(phase)) + ".");
     };
-    hooks.requestsInProgress = [this] { return m_sessions.size(); };
+    hooks.requestsInProgress = [this] { return m_sessions.size() + m_runStopper->size(); };
     hooks.unsettledClaims = [] { return std::size_t{0}; };
     hooks.handOver = [] {};
     hooks.exit = [this] {
@@ -263,6 +265,10 @@
             [this](const TargetSendNote &send, const HttpResponse &response) {
                 noteCallAnswer(send, response);
             },
+            [this](AbandonedRun run) { m_runStopper->add(std::move(run)); },
+            [this](const RequestId &id, const TargetId &target) {
+                m_runStopper->cancel(id, target);
+            },
             *m_poison,
             m_metrics};
 }
--- a/src/daemon/entrynode.h
+++ b/src/daemon/entrynode.h
@@ -139,6 +139,7 @@
     std::unique_ptr<KeyedTopicFollower> m_catalogFollower;
     std::unique_ptr<KeyedTopicFollower> m_targetsFollower;
     RelayServices m_services;
+    std::unique_ptr<RunStopper> m_runStopper;
     std::map<std::uint64_t, std::unique_ptr<RelaySession>> m_sessions; ///< By their numbers.
     std::uint64_t m_lastSession = 0;
     TimerId m_tickTimer = NoTimer;
--- a/src/daemon/entrytypes.h
+++ b/src/daemon/entrytypes.h
@@ -9,6 +9,7 @@
 
 #include "base/unixtime.h"
 #include "calls/relaycall.h"
+#include "calls/runstopper.h"
 #include "config/servicecatalog.h"
 #include "log/keyedtopicfollower.h"
 #include "net/http.h"
@@ -85,6 +86,9 @@
     std::function<HttpRequest(const RequestId &run, const Endpoint &destination)> writeCopy;
     /// Reads the name of the copy from the answer.
     std::function<absl::StatusOr<std::string>(const HttpResponse &)> readCopy;
+    /// Writes the call that stops a run, of which \a destination gets a copy.
+    std::function<HttpRequest(const RequestId &run, const Endpoint &destination)> writeStop;
+    std::function<RunStopAnswer(const HttpResponse &)> readStop;
     /// Writes the call that frees a copy.
     std::function<HttpRequest(const std::string &handle)> writeDropCopy;
     /// Writes the call that asks an engine for its state.
--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -186,6 +186,7 @@
 {
     TargetExchange &entry = m_exchanges.at(exchange);
     entry.wasSent = true;
+    m_services.cancelStop(m_caller.id, entry.target);
     entry.sentAt = m_services.timers.now();
     m_services.holdOffs.onSent(entry.target, entry.incarnation, m_services.timers.now());
     m_services.poison.onRunning(m_fingerprint, entry.target, entry.incarnation);
@@ -247,6 +248,8 @@
     TargetExchange &entry = m_exchanges[order.exchange];
     entry.target = order.target;
     entry.incarnation = target->entry.startedAt;
+    entry.endpoint = target->entry.endpoint;
+    entry.zone = target->entry.zone;
     entry.backup = order.backup;
     m_services.placer.onSent(order.target, load());
     if (entry.backup)
@@ -352,6 +355,7 @@
         it->second.head = head;
         m_services.poison.onAnswering(m_fingerprint, it->second.target);
         const RelayAnswerHead answer = m_services.bindings.readAnswerHead(head, m_caller.id);
+        it->second.isRunOver = !answer.isMismatched && !isSuccessStatus(head.status);
         m_services.noteAnswer(
                 {it->second.target, it->second.incarnation, it->second.sentAt, m_caller.id.text()},
                 answer);
@@ -368,6 +372,7 @@
         if (it == m_exchanges.end())
             return;
         it->second.hasEnded = status.ok() || errorCode(status) != ErrorCode::DeadlineExceeded;
+        it->second.isRunOver = it->second.isRunOver || status.ok();
         const bool wasSent = it->second.call->progress() == SendProgress::Sent;
         if (!status.ok())
             logFailedSend(it->second.target, status, wasSent);
@@ -398,6 +403,7 @@
     if (it == m_exchanges.end())
         return;
     release(it->second);
+    stopRun(it->second);
     std::shared_ptr<HttpCall> call = std::move(it->second.call);
     m_exchanges.erase(it);
     if (call)
--- a/src/daemon/relaysession.h
+++ b/src/daemon/relaysession.h
@@ -64,6 +64,10 @@
     std::function<void(const TargetSendNote &send, const RelayAnswerHead &answer)> noteAnswer;
     /// The same for its answer to a call of the node's own.
     std::function<void(const TargetSendNote &send, const HttpResponse &response)> noteCallAnswer;
+    /// Stops a run whose connection was closed or lost.
+    std::function<void(AbandonedRun run)> stopRun;
+    /// Called before a request is sent to a target where a run of it may have to be stopped.
+    std::function<void(const RequestId &id, const TargetId &target)> cancelStop;
     PoisonTracker &poison;
     Metrics &metrics;
 };
@@ -99,10 +103,13 @@
         HttpResponseHead head;
         TargetId target;
         Incarnation incarnation = 0; ///< Of the target, as its entry says.
+        Endpoint endpoint;           ///< Of the target.
+        ZoneName zone;               ///< Of the target.
         bool isWaiting = true;       ///< No part of the answer has come.
         bool wasSent = false;        ///< The target may run the request.
         TimePoint sentAt{};          ///< When it was written.
         bool hasEnded = false;       ///< The target has ended the answer or the connection.
+        bool isRunOver = false;      ///< The answer is whole, or says that there is no run.
         std::optional<TargetId> backup;
     };
 
@@ -137,6 +144,8 @@
     HttpCallHooks callHooks(std::uint64_t exchange, const TargetId &target, bool isResumed);
     void abandon(std::uint64_t exchange);
     void release(const TargetExchange &exchange);
+    void stopRun(const TargetExchange &exchange);
+    std::optional<Endpoint> endpointBeside(const TargetId &target) const;
     void notePart(std::uint64_t exchange);
     void forwardHead(std::uint64_t exchange);
     Duration retryAfter(const RelayFailure &failure) const;
--- a/src/daemon/relaysessioncopies.cpp
+++ b/src/daemon/relaysessioncopies.cpp
@@ -123,6 +123,38 @@
     return {target.id, target.entry.startedAt, m_services.timers.now(), m_caller.id.text(), true};
 }
 
+// The end of a connection does not end the run at every target.
+void RelaySession::stopRun(const TargetExchange &exchange)
+{
+    const CatalogService *const service = m_admitted.catalog->findService(m_service);
+    const bool canStop = service && service->engine && service->engine->supportsMoves;
+    if (!exchange.wasSent || exchange.isRunOver || !canStop)
+        return;
+    const std::optional<Endpoint> destination = endpointBeside(exchange.target);
+    if (!destination) {
+        logRequest(LogPart::Calls, LogLevel::Info, m_caller.id.text(),
+                   "The run left at " + exchange.target.text()
+                           + " is not stopped: there is no other target.");
+        return;
+    }
+    m_services.stopRun({m_caller.id, exchange.target, exchange.incarnation, exchange.endpoint,
+                        exchange.zone, *destination});
+}
+
+// The target where the stream goes on, if any, has the room for a copy already.
+std::optional<Endpoint> RelaySession::endpointBeside(const TargetId &target) const
+{
+    for (const auto &[number, exchange] : m_exchanges) {
+        if (exchange.target != target)
+            return exchange.endpoint;
+    }
+    const ServiceTarget *const other =
+            m_services.choose(m_service, {target}, m_services.settings.zone, 0);
+    if (!other)
+        return std::nullopt;
+    return other->entry.endpoint;
+}
+
 // A copy that is not freed ends by itself after a time. The call outlives the request.
 void RelaySession::freeCopy(const TargetId &source, const StreamCopy &copy)
 {
--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -245,6 +245,7 @@
 static HttpRequest writeSend(const HttpRequest &request, const TargetSend &send)
 {
     HttpRequest sent{request.method, request.path, {{"target", send.target.text()}}, request.body};
+    sent.headers.push_back({"id", std::string(findHeader(request.headers, "id").value_or(""))});
     if (const auto parts = findHeader(request.headers, PartsHeader))
         sent.headers.push_back({PartsHeader, std::string(*parts)});
     if (send.resume)
@@ -274,6 +275,18 @@
     return answer;
 }
 
+static RunStopAnswer readStop(const HttpResponse &response)
+{
+    switch (response.head.status) {
+    case 200:
+        return {RunStopResult::Stopped, CopyHandle};
+    case 404:
+        return {RunStopResult::NoSuchRun, {}};
+    default:
+        return {RunStopResult::Refused, {}};
+    }
+}
+
 KeyedTopicHooks EntryFleet::topicHooks(const RunningNode &running, const std::string &host,
                                        const std::string &topic)
 {
@@ -304,6 +317,10 @@
             return makeError(ErrorCode::TargetRefused, "no copies are made");
         return response.body;
     };
+    bindings.writeStop = [](const RequestId &run, const Endpoint &) {
+        return HttpRequest{"POST", StopPath, {{"id", run.text()}}, {}};
+    };
+    bindings.readStop = &readStop;
     bindings.writeDropCopy = [](const std::string &) { return HttpRequest{"DELETE", "/", {}, {}}; };
     bindings.writeReportCall = [] { return HttpRequest{"GET", "/report", {}, {}}; };
     bindings.readIsLeaving = [](const HttpResponse &response) {
@@ -448,6 +465,38 @@
     timers.scheduleAfter(gap, [this, index, gap, until] { repeatInnocents(index, gap, until); });
 }
 
+std::vector<SimOverlap> EntryFleet::overlaps() const
+{
+    std::map<std::string, std::vector<const SimRun *>> runs;
+    for (const std::unique_ptr<SimServer> &server : servers) {
+        for (const SimRun &run : server->runs()) {
+            if (!run.id.empty())
+                runs[run.id].push_back(&run);
+        }
+    }
+    std::vector<SimOverlap> overlaps;
+    for (const auto &[id, all] : runs) {
+        for (const SimRun *later : all) {
+            for (const SimRun *earlier : all) {
+                if (!later->isResumed || earlier->begunAt >= later->begunAt)
+                    continue;
+                const TimePoint end = earlier->endedAt.value_or(timers.now());
+                if (end > later->begunAt)
+                    overlaps.push_back({id, later->host, later->begunAt, end});
+            }
+        }
+    }
+    return overlaps;
+}
+
+Duration EntryFleet::longestOverlap() const
+{
+    Duration longest{0};
+    for (const SimOverlap &overlap : overlaps())
+        longest = std::max(longest, overlap.until - overlap.from);
+    return longest;
+}
+
 std::size_t EntryFleet::arrivalsAfterThirdCrash(const std::string &path, Duration slack)
 {
     constexpr std::size_t BoundedCrashes = 3;
--- a/src/daemon/tests/entryfleet.h
+++ b/src/daemon/tests/entryfleet.h
@@ -15,6 +15,15 @@
 
 namespace currantwalk {
 
+/// A time in which a request ran on at one server while it went on at another one.
+struct SimOverlap
+{
+    std::string id;
+    std::string host; ///< Of the node that sent it to the other one.
+    TimePoint from{};
+    TimePoint until{};
+};
+
 /// Entry nodes, servers and callers on virtual time.
 class EntryFleet
 {
@@ -106,6 +115,8 @@
     /// of an answer came.
     void request(std::size_t index, HttpRequest request, Tally &tally,
                  std::function<void(bool hasBegun)> onEnd);
+    /// Closes the connections of all callers; their requests stay open in the tallies.
+    void closeCallers() { m_callers.clear(); }
     /// Sends a poisonous request through \a copies ready nodes at once, every \a gap for \a span.
     void repeatPoison(const std::string &path, Duration gap, Duration span, std::size_t copies = 1);
     /// Sends requests with bodies of their own through all nodes.
@@ -120,6 +131,10 @@
     /// had crashed the third.
     std::size_t arrivalsAfterThirdCrash(const std::string &path, Duration slack);
 
+    std::vector<SimOverlap> overlaps() const;
+    /// Returns the longest time of overlaps(); 0 if there is none.
+    Duration longestOverlap() const;
+
     VirtualTimerService timers;
     RandomSource random;
     SimNet net;
--- a/src/daemon/tests/entrynodetest.cpp
+++ b/src/daemon/tests/entrynodetest.cpp
@@ -92,6 +92,12 @@
         bindings.readCopy = [](const HttpResponse &response) -> absl::StatusOr<std::string> {
             return response.body;
         };
+        bindings.writeStop = [](const RequestId &, const Endpoint &) {
+            return HttpRequest{"POST", "/stop", {}, {}};
+        };
+        bindings.readStop = [](const HttpResponse &) {
+            return RunStopAnswer{RunStopResult::NoSuchRun, {}};
+        };
         bindings.writeDropCopy = [](const std::string &) {
             return HttpRequest{"DELETE", "/copy", {}, {}};
         };
--- /dev/null
+++ b/src/daemon/tests/leftruntest.cpp
@@ -0,0 +1,162 @@
+#include "daemon/tests/entryfleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantwalk;
+using namespace std::chrono_literals;
+
+// Guards against a stream that runs on at the server before while it goes on at another one, since
+// that server does not end runs when their connections close.
+TEST_GROUP(LeftRuns)
+{
+    // From the users' rules.
+    static constexpr Duration MaxOverlap = 400ms;
+
+    std::unique_ptr<EntryFleet> fleet;
+    EntryFleet::Tally tally;
+
+    void build(std::size_t nodes, std::uint64_t seed = 1)
+    {
+        fleet.reset();
+        tally = {};
+        EntryFleet::Options options;
+        options.nodes = nodes;
+        options.seed = seed;
+        options.zones = std::max<std::size_t>(3, nodes / 12);
+        options.generationServers = std::max<std::size_t>(12, nodes);
+        options.plainServers = options.zones;
+        fleet = std::make_unique<EntryFleet>(options);
+        forEachEngine([](SimServer::Options &server) {
+            server.dropsRuns = false;
+            server.givesCopies = true;
+            server.events = 150;
+            server.slots = 24;
+            server.leavingTime = 5s;
+        });
+    }
+
+    void forEachEngine(const std::function<void(SimServer::Options &)> &change)
+    {
+        for (const std::unique_ptr<SimServer> &server : fleet->servers) {
+            if (server->options.service == "engines")
+                change(server->options);
+        }
+    }
+
+    void startStreams(const std::string &path)
+    {
+        for (std::size_t i = 0; i < 3 * fleet->nodeCount(); ++i)
+            fleet->request(i % fleet->nodeCount(), "POST", path, "body " + std::to_string(i),
+                           tally);
+        fleet->run(1500ms);
+    }
+
+    void checkAllServed()
+    {
+        fleet->run(20s);
+        LONGS_EQUAL(3 * fleet->nodeCount(), tally.served);
+        LONGS_EQUAL(0, tally.disordered);
+    }
+
+    /// Whether streams have gone on elsewhere, and the runs before have ended in time.
+    void checkOverlaps()
+    {
+        CHECK(!fleet->overlaps().empty());
+        CHECK(fleet->longestOverlap() <= MaxOverlap);
+    }
+
+    void leaveThird()
+    {
+        for (std::size_t i = 0; i < fleet->servers.size(); i += 3) {
+            if (fleet->servers[i]->options.service == "engines")
+                fleet->servers[i]->leave();
+        }
+    }
+};
+
+TEST(LeftRuns, streamsThatMoveAwayFromLeavingServersAreStoppedThere)
+{
+    for (const std::size_t nodes : {7U, 90U}) {
+        build(nodes);
+        startStreams("/stream/x");
+        leaveThird();
+        checkAllServed();
+        checkOverlaps();
+    }
+}
+
+TEST(LeftRuns, refusedAndLostCallsToStopARunAreMadeAgain)
+{
+    // Four calls in a row are refused for one run in a hundred.
+    std::size_t late = 0;
+    std::size_t all = 0;
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        build(7, seed);
+        forEachEngine([](SimServer::Options &server) {
+            server.refusedStopShare = 0.3;
+            server.lostStopShare = 0.3;
+        });
+        startStreams("/stream/x");
+        leaveThird();
+        checkAllServed();
+        for (const SimOverlap &overlap : fleet->overlaps())
+            late += overlap.until - overlap.from > MaxOverlap ? 1 : 0;
+        all += fleet->overlaps().size();
+    }
+    CHECK(all > 50);
+    CHECK(20 * late <= all);
+}
+
+// Only the connections are lost; the servers, and the runs, go on.
+TEST(LeftRuns, streamsResumedFromBackupsAfterAResetAreStoppedAtTheServerBefore)
+{
+    build(7);
+    startStreams("/stream/x");
+    for (std::size_t i = 0; i < 4; ++i)
+        fleet->servers[i]->resetConnections();
+    checkAllServed();
+    checkOverlaps();
+}
+
+TEST(LeftRuns, streamsResumedWithoutACopyAreStoppedAtTheServerBefore)
+{
+    build(7);
+    forEachEngine([](SimServer::Options &server) { server.keepsCopies = false; });
+    // A node that has just started spends none of the slack of the retry budget.
+    fleet->run(12s);
+    startStreams("/resumable/x");
+    for (std::size_t i = 0; i < 4; ++i)
+        fleet->servers[i]->resetConnections();
+    checkAllServed();
+    checkOverlaps();
+}
+
+TEST(LeftRuns, streamsThatMoveTwiceAreStoppedAtBothServers)
+{
+    build(7);
+    startStreams("/stream/x");
+    for (int round = 0; round < 3; ++round) {
+        leaveThird();
+        fleet->run(1s);
+    }
+    checkAllServed();
+    checkOverlaps();
+}
+
+// A run that nobody reads is work for nothing.
+TEST(LeftRuns, runsOfCallersThatLeftAreStopped)
+{
+    build(7);
+    startStreams("/stream/x");
+    const TimePoint leftAt = fleet->timers.now();
+    fleet->closeCallers();
+    fleet->run(20s);
+    std::size_t runs = 0;
+    for (const std::unique_ptr<SimServer> &server : fleet->servers) {
+        for (const SimRun &run : server->runs()) {
+            ++runs;
+            CHECK(run.endedAt && *run.endedAt <= leftAt + 500ms);
+        }
+    }
+    CHECK(runs >= 3 * fleet->nodeCount());
+}
--- a/src/daemon/tests/loopnode.cpp
+++ b/src/daemon/tests/loopnode.cpp
@@ -85,6 +85,12 @@
     bindings.readCopy = [](const HttpResponse &) -> absl::StatusOr<std::string> {
         return std::string("handle");
     };
+    bindings.writeStop = [](const RequestId &, const Endpoint &) {
+        return HttpRequest{"POST", "/stop", {}, {}};
+    };
+    bindings.readStop = [](const HttpResponse &) {
+        return RunStopAnswer{RunStopResult::NoSuchRun, {}};
+    };
     bindings.writeDropCopy = [](const std::string &) {
         return HttpRequest{"DELETE", "/copy", {}, {}};
     };
--- a/src/daemon/tests/simserver.cpp
+++ b/src/daemon/tests/simserver.cpp
@@ -79,7 +79,7 @@
 void SimServer::stop(SimEnd end)
 {
     m_isUp = false;
-    m_work.clear();
+    endAllWork();
     m_net.close(options.endpoint, end);
 }
 
@@ -116,7 +116,8 @@
 {
     if (!m_isUp)
         return;
-    m_work.clear();
+    if (options.dropsRuns)
+        endAllWork();
     m_net.close(options.endpoint, SimEnd::Reset);
     m_net.listen(options.endpoint,
                  [this](std::shared_ptr<HttpExchange> exchange) { take(std::move(exchange)); });
@@ -273,7 +274,17 @@
     const TimePoint now = m_net.timers().now();
     m_arrivals.push_back({now, exchange->remoteAddress(), m_start});
     const std::size_t arrival = m_arrivals.size() - 1;
-    m_arrivals.back().isCopyCall = exchange->request().path == CopyPath;
+    m_arrivals.back().isCopyCall =
+            exchange->request().path == CopyPath || exchange->request().path == StopPath;
+    if (exchange->request().path == StopPath) {
+        stopRun(exchange);
+        return;
+    }
+    if (exchange->request().method == "DELETE") {
+        exchange->start({200, {}});
+        exchange->finish();
+        return;
+    }
     const std::optional<std::string> poison = notePoison(exchange->request());
     if (options.turnAwayShare > 0 && m_random.chance(options.turnAwayShare)) {
         m_arrivals.back().heldOffUntil = now + options.holdOff;
@@ -290,13 +301,49 @@
     work->poison = poison;
     // The exchange owns the hook, and the work owns the exchange.
     work->exchange->onClosed([this, weak = std::weak_ptr<Work>(work)] {
-        if (const std::shared_ptr<Work> closed = weak.lock())
+        const std::shared_ptr<Work> closed = weak.lock();
+        if (closed && options.dropsRuns)
             end(closed);
     });
     m_work.push_back(work);
     beginNext();
 }
 
+// The stream of a run that is stopped is closed without its end.
+void SimServer::stopRun(const std::shared_ptr<HttpExchange> &exchange)
+{
+    if (options.refusedStopShare > 0 && m_random.chance(options.refusedStopShare)) {
+        exchange->start({409, {}});
+        exchange->finish();
+        return;
+    }
+    const std::string id(findHeader(exchange->request().headers, "id").value_or(""));
+    const auto found =
+            std::find_if(m_work.begin(), m_work.end(), [&id](const std::shared_ptr<Work> &work) {
+                return work->hasBegun
+                       && findHeader(work->exchange->request().headers, "id").value_or("") == id;
+            });
+    const bool isRunning = found != m_work.end();
+    if (isRunning) {
+        const std::shared_ptr<Work> work = *found;
+        work->exchange->abort();
+        end(work);
+    }
+    if (options.lostStopShare > 0 && m_random.chance(options.lostStopShare)) {
+        exchange->abort();
+        return;
+    }
+    exchange->start({isRunning ? 200 : 404, {}});
+    if (isRunning)
+        exchange->write(CopyHandle);
+    exchange->finish();
+}
+
+bool SimServer::isDropped(const Work &work) const
+{
+    return options.dropsRuns && work.exchange->isClosed();
+}
+
 void SimServer::beginNext()
 {
     std::uint32_t running = 0;
@@ -307,8 +354,14 @@
             continue;
         ++running;
         work->hasBegun = true;
+        const HttpHeaders &headers = work->exchange->request().headers;
+        work->run = m_runs.size();
+        m_runs.push_back({std::string(findHeader(headers, "id").value_or("")),
+                          work->exchange->remoteAddress(),
+                          findHeader(headers, "last-event").has_value(), m_net.timers().now(),
+                          std::nullopt});
         m_net.timers().scheduleAfter(options.work, [this, work, start = m_start] {
-            if (m_isUp && start == m_start && !work->exchange->isClosed())
+            if (m_isUp && start == m_start && !isDropped(*work) && !m_runs[work->run].endedAt)
                 this->work(work);
         });
     }
@@ -353,7 +406,7 @@
 
 void SimServer::writeEvent(const std::shared_ptr<Work> &work)
 {
-    if (!m_isUp || work->exchange->isClosed())
+    if (!m_isUp || isDropped(*work) || m_runs[work->run].endedAt)
         return;
     if (work->poison && work->events >= options.eventsBeforeCrash) {
         m_poison[*work->poison].crashes.push_back(m_net.timers().now());
@@ -393,8 +446,19 @@
     });
 }
 
+void SimServer::endAllWork()
+{
+    for (const std::shared_ptr<Work> &work : m_work) {
+        if (work->hasBegun)
+            m_runs[work->run].endedAt = m_net.timers().now();
+    }
+    m_work.clear();
+}
+
 void SimServer::end(const std::shared_ptr<Work> &work)
 {
+    if (work->hasBegun && !m_runs[work->run].endedAt)
+        m_runs[work->run].endedAt = m_net.timers().now();
     m_work.erase(std::remove(m_work.begin(), m_work.end(), work), m_work.end());
     if (m_isUp)
         beginNext();
--- a/src/daemon/tests/simserver.h
+++ b/src/daemon/tests/simserver.h
@@ -23,6 +23,8 @@
 /// Of the call for a copy of a stream, and its answer.
 constexpr const char *CopyPath = "/copy";
 constexpr const char *CopyHandle = "handle";
+/// Of the call that stops a run; its header "id" names the request.
+constexpr const char *StopPath = "/stop";
 
 /// A request that a server got.
 struct SimArrival
@@ -38,6 +40,16 @@
     std::optional<TimePoint> toldLimitAt{};
 };
 
+/// One run of a request at a server.
+struct SimRun
+{
+    std::string id;   ///< Of the request.
+    std::string host; ///< Of the node that sent it.
+    bool isResumed = false;
+    TimePoint begunAt{};
+    std::optional<TimePoint> endedAt;
+};
+
 /// Returns whether the rules do not bind a node in a time.
 using SimExcuse = std::function<bool(const std::string &host, TimePoint from, TimePoint until)>;
 
@@ -83,6 +95,11 @@
         double breakShare = 0;    ///< Of the events in the middle of which the connection is reset.
         /// Whether its streams send a byte at each gap and never an event.
         bool trickles = false;
+        /// Whether a run ends when the connection of its request is closed.
+        bool dropsRuns = true;
+        /// Share of the calls to stop a run that are refused, and of those whose answer is lost.
+        double refusedStopShare = 0;
+        double lostStopShare = 0;
         /// Share of its answers that say that it leaves, while its entry says that it is ready.
         double leavingShare = 0;
         /// Share of the requests that it turns away for holdOff.
@@ -109,6 +126,7 @@
     Options options;
     bool isUp() const { return m_isUp; }
     const std::vector<SimArrival> &arrivals() const { return m_arrivals; }
+    const std::vector<SimRun> &runs() const { return m_runs; }
     /// Returns the most requests that one start of the server got from one node between \a slack
     /// after it had turned a request of that node away and the end of the time it had asked for.
     /// Excuses what \a isExcused says of a node since then.
@@ -140,6 +158,7 @@
         bool hasBegun = false;
         std::uint32_t events = 0;
         std::size_t arrival = 0; ///< Its place among the arrivals.
+        std::size_t run = 0;     ///< Its place among the runs, once it has begun.
         /// In the log of poisonous requests, if it crashes the server.
         std::optional<std::string> poison;
     };
@@ -150,6 +169,9 @@
     void beat();
     void writeEntry(bool isLeaving);
     void take(std::shared_ptr<HttpExchange> exchange);
+    void stopRun(const std::shared_ptr<HttpExchange> &exchange);
+    bool isDropped(const Work &work) const;
+    void endAllWork();
     void beginNext();
     void work(const std::shared_ptr<Work> &work);
     void writeEvent(const std::shared_ptr<Work> &work);
@@ -168,6 +190,7 @@
     std::uint64_t m_bornAt = 0;
     std::vector<std::shared_ptr<Work>> m_work;
     std::vector<SimArrival> m_arrivals;
+    std::vector<SimRun> m_runs;
     std::vector<LimitChange> m_limits;
     bool m_isUp = false;
     bool m_isLeaving = false;
