Tell an empty list of organisations from an absent or unreadable one

Cause: hasOrganisations() was false for an empty list, and the reader gave an empty list for no "tenants", for an empty one and for one that is no list.

Change: the list is optional; absent: no key is needed; empty: no key is valid; unreadable: the version is not taken, and no key is proven until a readable one comes. A key that a request carries is checked on every route, also where none is needed. EntryFleet can read catalogues with the platform's reader.

--- a/src/config/catalogholder.cpp
+++ b/src/config/catalogholder.cpp
@@ -49,7 +49,8 @@
 }
 
 // A route or key missing from a stale catalogue may have been added since, so the result is
-// StaleKeys, which callers may retry, rather than NoRoute or UnknownKey.
+// StaleKeys, which callers may retry, rather than NoRoute or UnknownKey. A key that a request
+// carries is checked also where none is needed: it may have been revoked.
 AdmittedRequest admitRequest(const CatalogHolder &holder, std::string_view host,
                              std::string_view path, const std::optional<std::string> &key,
                              Duration maxKeyAge)
@@ -64,21 +65,14 @@
         result.admission = isCurrent ? Admission::NoRoute : Admission::StaleKeys;
         return result;
     }
-    if (!result.catalog->hasOrganisations()) {
-        result.admission = Admission::Admitted;
-        return result;
-    }
-    if (key)
-        result.organisation = result.catalog->findKey(*key);
-    if (result.route->isAnonymousAllowed) {
-        if (!isCurrent)
-            result.organisation = nullptr;
+    if (!key && (result.route->isAnonymousAllowed || !result.catalog->isKeyRequired())) {
         result.admission = Admission::Admitted;
     } else if (!isCurrent) {
         result.admission = Admission::StaleKeys;
     } else if (!key) {
         result.admission = Admission::MissingKey;
     } else {
+        result.organisation = result.catalog->findKey(*key);
         result.admission = result.organisation ? Admission::Admitted : Admission::UnknownKey;
     }
     return result;
--- a/src/config/servicecatalog.cpp
+++ b/src/config/servicecatalog.cpp
@@ -40,7 +40,9 @@
         m_routes[route.host].emplace(route.pathPrefix, &route);
     for (const CatalogService &service : m_content.services)
         m_services.emplace(service.name, &service);
-    for (const CatalogOrganisation &organisation : m_content.organisations) {
+    if (!m_content.organisations)
+        return;
+    for (const CatalogOrganisation &organisation : *m_content.organisations) {
         for (const std::string &key : organisation.keys)
             m_keys.emplace(key, &organisation);
     }
--- a/src/config/servicecatalog.h
+++ b/src/config/servicecatalog.h
@@ -93,7 +93,8 @@
     std::uint64_t version = 0;
     std::vector<CatalogRoute> routes;
     std::vector<CatalogService> services;
-    std::vector<CatalogOrganisation> organisations;
+    /// Nothing where requests need no key. An empty list admits no key.
+    std::optional<std::vector<CatalogOrganisation>> organisations;
     CallerLimits limits;
 };
 
@@ -109,8 +110,8 @@
     const CatalogRoute *findRoute(std::string_view host, std::string_view path) const;
     /// Returns the organisation that holds \a key, or nullptr.
     const CatalogOrganisation *findKey(const std::string &key) const;
-    /// Returns whether any organisation is published; if none is, requests need no key.
-    bool hasOrganisations() const { return !m_content.organisations.empty(); }
+    /// Returns whether requests need a key, except on routes that allow anonymous ones.
+    bool isKeyRequired() const { return m_content.organisations.has_value(); }
     const CatalogService *findService(const std::string &name) const;
     const std::vector<CatalogService> &services() const { return m_content.services; }
 
--- a/src/config/tests/servicecatalogtest.cpp
+++ b/src/config/tests/servicecatalogtest.cpp
@@ -23,7 +23,7 @@
     CatalogContent content;
     content.version = version;
     content.routes = {route("/a/", "one"), route("/a/b/", "two")};
-    content.organisations = {{"o", std::nullopt, {"k1", "k2"}}};
+    content.organisations = std::vector<CatalogOrganisation>{{"o", std::nullopt, {"k1", "k2"}}};
     return content;
 }
 
@@ -99,7 +99,7 @@
     publish(content(1));
     CHECK(isKeyValid(holder, "o", "k1", MaxKeyAge));
     CatalogContent next = content(2);
-    next.organisations[0].keys = {"k2"};
+    next.organisations->at(0).keys = {"k2"};
     publish(std::move(next));
     CHECK(!isKeyValid(holder, "o", "k1", MaxKeyAge));
     CHECK(isKeyValid(holder, "o", "k2", MaxKeyAge));
--- a/src/daemon/entrynode.h
+++ b/src/daemon/entrynode.h
@@ -150,6 +150,7 @@
     bool m_areFollowersStarted = false;
     /// Version of the catalogue that the store, or its copy, was last seen to hold.
     std::uint64_t m_storedCatalogVersion = 0;
+    bool m_isStoredCatalogInvalid = false; ///< The newest catalogue in the store can't be read.
     /// The store was restored, and this node's record has not been read since.
     bool m_isAnnouncementMissing = false;
     std::uint64_t m_settledEra = 0; ///< Highest era that a node has recorded as settled.
--- a/src/daemon/entrynodestore.cpp
+++ b/src/daemon/entrynodestore.cpp
@@ -58,9 +58,12 @@
     options.wait = CatalogWait;
     options.maxRetry = CatalogRetry;
     options.isEraSettled = [this](std::uint64_t era) { return m_settledEra >= era; };
-    // The copy that the store was restored from may hold an older catalogue than this node.
+    // The copy that the store was restored from may hold an older catalogue than this node. One
+    // that can't be read may revoke any key.
     options.isContentCurrent = [this] {
-        return !m_catalog.current() || m_storedCatalogVersion >= m_catalog.current()->version();
+        return !m_isStoredCatalogInvalid
+               && (!m_catalog.current()
+                   || m_storedCatalogVersion >= m_catalog.current()->version());
     };
     m_catalogFollower = KeyedTopicFollower::create(
             options, m_topics.hooks(SharedTopic::Catalog, m_bindings.catalogTopic),
@@ -288,9 +291,14 @@
 void EntryNode::takeCatalogText(const std::string &text, CatalogSource source)
 {
     absl::StatusOr<CatalogContent> content = m_bindings.readCatalog(text);
+    if (source == CatalogSource::Store)
+        m_isStoredCatalogInvalid = !content.ok();
     if (!content.ok()) {
         logLine(LogPart::Config, LogLevel::Error,
-                "A catalogue is not valid: " + std::string(content.status().message()));
+                "A catalogue is not valid: " + std::string(content.status().message())
+                        + (source == CatalogSource::Store
+                                   ? "; keys are not accepted until a valid one is published."
+                                   : ""));
         return;
     }
     const std::uint64_t version = content->version;
--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -41,7 +41,10 @@
     store.era = options.storeEra;
     if (store.era != 0)
         store.append(RosterTopic, "settled-era", std::to_string(store.era));
-    publish(1, true);
+    if (options.catalog.empty())
+        publish(1, true);
+    else
+        publishText(options.catalog);
     const std::size_t count = options.generationServers + options.plainServers;
     for (std::size_t i = 0; i < count; ++i) {
         const bool isPlain = i >= options.generationServers;
@@ -159,7 +162,7 @@
 
 void EntryFleet::publish(std::uint64_t version, bool hasKey)
 {
-    store.append(CatalogTopic, "config", std::to_string(version) + (hasKey ? "" : WithoutKey));
+    publishText(std::to_string(version) + (hasKey ? "" : WithoutKey));
 }
 
 std::vector<std::size_t> EntryFleet::readersOf(const ZoneName &zone) const
@@ -205,7 +208,8 @@
     plain.name = std::string("plain");
     content.services = {engines, plain};
     const bool hasKey = text.find(WithoutKey) == std::string::npos;
-    content.organisations = {{"o", std::nullopt, {hasKey ? "key" : "another"}}};
+    content.organisations =
+            std::vector<CatalogOrganisation>{{"o", std::nullopt, {hasKey ? "key" : "another"}}};
     return content;
 }
 
@@ -228,7 +232,10 @@
     CallerRequest caller;
     caller.id = RequestId(std::string(findHeader(request.headers, "id").value_or("")));
     caller.host = std::string("h");
-    caller.key = std::string("key");
+    const std::string_view key =
+            findHeader(request.headers, EntryFleet::KeyHeader).value_or(EntryFleet::CallersKey);
+    if (key != EntryFleet::NoKey)
+        caller.key = std::string(key);
     if (request.path.rfind("/stream/", 0) == 0 || request.path.rfind("/resumable/", 0) == 0) {
         caller.promptTokens = 1000;
         caller.maxTokens = 1000;
@@ -345,7 +352,7 @@
                 std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count());
     };
     bindings.catalogKey = "config";
-    bindings.readCatalog = &readCatalog;
+    bindings.readCatalog = m_options.readCatalog ? m_options.readCatalog : &readCatalog;
     bindings.readTarget = m_options.readTarget ? m_options.readTarget : &readTarget;
     return bindings;
 }
--- a/src/daemon/tests/entryfleet.h
+++ b/src/daemon/tests/entryfleet.h
@@ -31,6 +31,10 @@
     static constexpr const char *CatalogTopic = "catalog";
     static constexpr const char *TargetsTopic = "targets";
     static constexpr const char *RosterTopic = "roster";
+    /// Header that replaces the key that callers send; NoKey: they send none.
+    static constexpr const char *KeyHeader = "key";
+    static constexpr const char *CallersKey = "key";
+    static constexpr const char *NoKey = "-";
     /// Objective of a stream's first part.
     static constexpr Duration TimelyStart = std::chrono::seconds(2);
 
@@ -53,6 +57,9 @@
         /// Makes the reader of a topic for a node, in place of one that calls \c store directly.
         std::function<KeyedTopicHooks(EventLoop &loop, const std::string &topic)> storeReader =
                 nullptr;
+        /// Reads catalogues in place of the fleet's own reader; the first one is \c catalog.
+        std::function<absl::StatusOr<CatalogContent>(const std::string &)> readCatalog = nullptr;
+        std::string catalog;
         /// Reads the entries of servers in place of the fleet's own reader.
         std::function<absl::StatusOr<TargetEntry>(const std::string &)> readTarget = nullptr;
     };
@@ -102,6 +109,7 @@
 
     /// Publishes a catalogue; callers' keys are in it or not.
     void publish(std::uint64_t version, bool hasKey);
+    void publishText(const std::string &text) { store.append(CatalogTopic, "config", text); }
     /// Returns the nodes of a zone in the order in which they are asked to read the store.
     std::vector<std::size_t> readersOf(const ZoneName &zone) const;
 
--- a/src/daemon/tests/entrynodetest.cpp
+++ b/src/daemon/tests/entrynodetest.cpp
@@ -51,9 +51,10 @@
         service.engine = EngineCapabilities{8, 10000, true, true};
         content.services = {service};
         if (content.version % 2 == 1)
-            content.organisations = {{"o", std::nullopt, {"key"}}};
+            content.organisations = std::vector<CatalogOrganisation>{{"o", std::nullopt, {"key"}}};
         else
-            content.organisations = {{"o", std::nullopt, {"other"}}};
+            content.organisations =
+                    std::vector<CatalogOrganisation>{{"o", std::nullopt, {"other"}}};
         return content;
     }
 
