A route whose weights are all zero gets no traffic

Callers saw (in a test; no deployment is known to have it): a route whose operator had set all weights to 0 was served by the service named beside them, or its whole configuration was refused.

Change: such a route has no service, and its requests get 503 with Retry-After at once.

--- a/src/config/servicecatalog.h
+++ b/src/config/servicecatalog.h
@@ -53,7 +53,7 @@
     std::uint32_t urgency = 0; ///< Priority rank; 0 is served first.
     std::uint32_t maxTargets = 1;
     bool isAnonymousAllowed = false;
-    std::vector<WeightedService> services;
+    std::vector<WeightedService> services; ///< Empty where the route is published without traffic.
 };
 
 /// Capacity and capabilities of a service's engines.
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -23,6 +23,8 @@
 // Callers refused for want of knowledge reach another node when they come back.
 static constexpr Duration StaleRetryAfter = std::chrono::milliseconds(100);
 static constexpr Duration RefusalJitter = std::chrono::milliseconds(100);
+// A route that gets no traffic gets some when the operator publishes again.
+static constexpr Duration NoTrafficRetryAfter = std::chrono::seconds(2);
 // By then a target that was taken for dead has been heard of, if it is alive.
 static constexpr Duration PoisonRetryAfter = std::chrono::seconds(2);
 
@@ -346,6 +348,11 @@
         refusePoisonous(*exchange, caller->id, *refused);
         return;
     }
+    if (admitted.route->services.empty()) {
+        refuseRequest(*exchange, caller->id,
+                      {503, NoTrafficRetryAfter, errorName(ErrorCode::NoTarget)});
+        return;
+    }
     const std::string service = pickService(admitted.route->services, m_random.uniform());
     allowance(service).onRequest(m_loop.timers().now());
     const std::uint64_t number = ++m_lastSession;
