Stand-ins on sockets answer the call that stops a run

EntryNode.anAbandonedExchangeDoesNotReportIntoItsSession and CloseDelimitedAnswers.resumedStreamThatIsBrokenOffAgainIsNotWhole failed since: their targets took the node's call to stop a run for the next request. The targets now answer it with 404, as those do that end runs with their connections. All checks of the tests stay.

--- a/src/daemon/tests/entrynodetest.cpp
+++ b/src/daemon/tests/entrynodetest.cpp
@@ -131,6 +131,13 @@
         settings.stopGrace = 1s;
         settings.retrySlack = 1000;
         settings.retryWindow = 1ms; // The slack is usable from then on.
+        // No run of this target outlives its connection.
+        targetBench.handler = [this](std::shared_ptr<HttpExchange> exchange) {
+            if (exchange->request().path == "/stop")
+                respond(*exchange, 404, "text/plain", "");
+            else
+                targetBench.exchanges.push_back(std::move(exchange));
+        };
         node = std::move(EntryNode::create(settings, bindings(), *targetBench.loop).value());
     }
 
--- a/src/daemon/tests/loopnode.cpp
+++ b/src/daemon/tests/loopnode.cpp
@@ -2,6 +2,8 @@
 
 namespace currantwalk {
 
+static constexpr const char *StopCall = "POST /stop ";
+
 using namespace std::chrono_literals;
 
 static absl::StatusOr<CatalogContent> readCatalog(const std::string &)
@@ -135,7 +137,13 @@
             peer = std::make_unique<RawSocket>(fd);
         if (peer)
             peer->receive();
-        return peer && peer->received().find("\r\n\r\n") != std::string::npos;
+        const bool hasHead = peer && peer->received().find("\r\n\r\n") != std::string::npos;
+        if (!hasHead || peer->received().rfind(StopCall, 0) != 0)
+            return hasHead;
+        // No run of these targets outlives its connection.
+        write(*peer, "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n");
+        peer.reset();
+        return false;
     }));
     CHECK(peer->received().find(mark) != std::string::npos);
     return peer;
