Bound the bytes of answers that a node holds, over all connections

Callers would see (another operator's report): faulty servers send bytes without end, and the machine that called them runs out of memory; the requests of all its callers end with it.

Cause: each connection had bounds of its own, and nothing bounded their sum: an event without an end 1 MB, an answer held back 256 KB, bytes for a caller that does not read 64 KB and one read more in three places.

Change: BufferBudget shares an eighth of memory_mb among all that hold bytes of answers.

--- a/src/calls/eventsplitter.h
+++ b/src/calls/eventsplitter.h
@@ -28,6 +28,7 @@
     std::optional<std::vector<RawEvent>> feed(std::string_view bytes);
     /// Returns whether an incomplete event is buffered.
     bool isWithinEvent() const { return !m_buffer.empty(); }
+    std::size_t bufferedBytes() const { return m_buffer.size(); }
     void reset() { m_buffer.clear(); }
 
 private:
--- a/src/calls/relaycall.cpp
+++ b/src/calls/relaycall.cpp
@@ -196,10 +196,18 @@
         return;
     }
     m_bufferedBody.append(bytes);
-    if (m_bufferedBody.size() > MaxBufferedBytes)
+    if (m_bufferedBody.size() > MaxBufferedBytes || !noteHeldBytes())
         forwardBufferedAnswer();
 }
 
+bool RelayCall::noteHeldBytes()
+{
+    std::size_t bytes = m_bufferedBody.size() + m_events.bufferedBytes();
+    for (const RawEvent &event : m_bufferedEvents)
+        bytes += event.bytes.size();
+    return m_hooks.holdBytes(bytes);
+}
+
 // Forwards only complete events, so that an answer truncated within an event is detected.
 void RelayCall::handleEvents(std::string_view bytes)
 {
@@ -217,6 +225,11 @@
         if (isSettled())
             return;
     }
+    if (!noteHeldBytes()) {
+        onUnusableAnswer(makeError(ErrorCode::TargetProtocolError,
+                                   "an event of the stream is too large for the memory left"));
+        return;
+    }
     if (m_isTargetLeaving)
         beginMove();
 }
@@ -270,7 +283,8 @@
     m_hooks.forwardHead(m_exchange);
     if (!m_bufferedBody.empty())
         m_hooks.forwardBody(m_bufferedBody);
-    m_bufferedBody.clear();
+    m_bufferedBody = {};
+    noteHeldBytes();
 }
 
 void RelayCall::onEnd(std::uint64_t exchange, const absl::Status &status, bool wasSent)
@@ -588,6 +602,7 @@
 void RelayCall::settle()
 {
     m_state = RelayState::Settled;
+    m_hooks.holdBytes(0);
     m_timers.cancel(std::exchange(m_deadlineTimer, NoTimer));
     m_timers.cancel(std::exchange(m_attemptTimer, NoTimer));
 }
--- a/src/calls/relaycall.h
+++ b/src/calls/relaycall.h
@@ -116,6 +116,8 @@
     std::function<std::optional<StreamCopy>(const TargetId &holder)> findBackup;
     /// Closes the exchange's connection.
     std::function<void(std::uint64_t exchange)> abandon;
+    /// Notes that the call holds \a bytes of answers. Returns whether it may.
+    std::function<bool(std::size_t bytes)> holdBytes;
     /// Forwards the head of the answer of \a exchange.
     std::function<void(std::uint64_t exchange)> forwardHead;
     std::function<void(std::string_view bytes)> forwardBody;
@@ -220,6 +222,7 @@
     bool isAfterGap(std::uint64_t number);
     void handleEvents(std::string_view bytes);
     void forwardBufferedAnswer();
+    bool noteHeldBytes();
     void finish();
     void abortAnswer(const absl::Status &reason);
     void fail(const absl::Status &status, Duration retryAfter = Duration(0));
--- a/src/calls/tests/relaycalltest.cpp
+++ b/src/calls/tests/relaycalltest.cpp
@@ -36,6 +36,8 @@
     int ends = 0;
     int aborts = 0;
     int retriesLeft = 10;
+    std::size_t heldBytes = 0;
+    std::size_t maxHeldBytes = std::size_t{16} * 1024 * 1024;
     bool isMoveOffered = true;
     bool isBackupOffered = false;
     bool isBackupAvailable = true;
@@ -56,6 +58,10 @@
             return StreamCopy{holder, {"10.0.0.2", 80}, "r", true};
         };
         hooks.abandon = [this](std::uint64_t exchange) { abandoned.insert(exchange); };
+        hooks.holdBytes = [this](std::size_t bytes) {
+            heldBytes = bytes;
+            return bytes <= maxHeldBytes;
+        };
         hooks.forwardHead = [this](std::uint64_t) { ++heads; };
         hooks.forwardBody = [this](std::string_view bytes) { body += bytes; };
         hooks.forwardEnd = [this] { ++ends; };
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -28,6 +28,10 @@
 // By then a target that was taken for dead has been heard of, if it is alive.
 static constexpr Duration PoisonRetryAfter = std::chrono::seconds(2);
 
+// Part of the memory for bytes of answers that wait. Holders may exceed it twice, and strings that
+// grow take twice their size.
+static constexpr std::size_t BufferDivisor = 8;
+
 static OutlierDetector::Options outlierOptions()
 {
     OutlierDetector::Options options;
@@ -112,6 +116,7 @@
       m_poisonExchange(settings.zone, *m_poison, m_peers, m_roster,
                        {m_bindings.writeRoster, m_bindings.unixMilliseconds}, loop.timers(),
                        m_random),
+      m_buffers(settings.memoryLimit / BufferDivisor),
       m_services(relayServices()),
       m_runStopper(RunStopper::create(runStopHooks(m_services), loop.timers()))
 {
@@ -199,6 +204,7 @@
         m_metrics.set("currantwalk_poisonous_requests",
                       {{"state", std::string(suspicionName(suspicion))}},
                       static_cast<double>(count));
+    m_metrics.set("currantwalk_buffered_bytes", {}, static_cast<double>(m_buffers.used()));
     m_metrics.set("currantwalk_nodes", {}, static_cast<double>(m_roster.size()));
     m_metrics.set("currantwalk_connections", {},
                   static_cast<double>(m_loop.server().connections()));
@@ -271,6 +277,7 @@
             [this](const RequestId &id, const TargetId &target) {
                 m_runStopper->cancel(id, target);
             },
+            m_buffers,
             *m_poison,
             m_metrics};
 }
@@ -559,6 +566,8 @@
     m_settings.retryRatio = settings.retryRatio;
     m_settings.retrySlack = settings.retrySlack;
     m_settings.retryWindow = settings.retryWindow;
+    m_settings.memoryLimit = settings.memoryLimit;
+    m_buffers.setCapacity(settings.memoryLimit / BufferDivisor);
     for (auto &[service, allowance] : m_allowances)
         allowance.setOptions(allowanceOptions(m_settings));
     logLine(LogPart::Daemon, LogLevel::Info, "The settings were read again.");
--- a/src/daemon/entrynode.h
+++ b/src/daemon/entrynode.h
@@ -138,6 +138,7 @@
     std::unique_ptr<Drain> m_drain;
     std::unique_ptr<KeyedTopicFollower> m_catalogFollower;
     std::unique_ptr<KeyedTopicFollower> m_targetsFollower;
+    BufferBudget m_buffers;
     RelayServices m_services;
     std::unique_ptr<RunStopper> m_runStopper;
     std::map<std::uint64_t, std::unique_ptr<RelaySession>> m_sessions; ///< By their numbers.
--- a/src/daemon/entrytypes.h
+++ b/src/daemon/entrytypes.h
@@ -31,6 +31,8 @@
     Duration maxKeyAge = std::chrono::seconds(3);
     /// From the order to stop until the process is killed.
     Duration stopGrace = std::chrono::seconds(8);
+    /// At which the process is killed.
+    std::size_t memoryLimit = std::size_t{256} * 1024 * 1024;
     double retryRatio = 0.2; ///< Retries for each request, of a service in a window.
     double retrySlack = 0;   ///< Further retries in a window, of all nodes together.
     Duration retryWindow = std::chrono::seconds(10);
--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -16,7 +16,9 @@
 static constexpr Duration BusyRetryAfter = std::chrono::milliseconds(300);
 static constexpr Duration NoTargetRetryAfter = std::chrono::milliseconds(500);
 // Bytes that wait for the caller's connection before the target is held back.
-static constexpr std::size_t MaxPendingBytes = std::size_t{64} * 1024;
+static constexpr std::size_t MaxPendingBytes = std::size_t{16} * 1024;
+// Bytes that a target may have sent while the node does not read.
+static constexpr std::uint32_t ReceiveBufferBytes = 16 * 1024;
 // Where nothing is known of a generation's length, this part of its limit is expected.
 static constexpr std::uint32_t UnknownLengthDivisor = 2;
 
@@ -43,7 +45,9 @@
       m_fingerprint(fingerprint),
       m_features(promptPartFeatures(m_caller.sharedPromptParts)),
       m_done(std::move(done)),
-      m_arrivedAt(services.timers.now())
+      m_arrivedAt(services.timers.now()),
+      m_heldBytes(services.buffers),
+      m_pendingBytes(services.buffers)
 {
     m_call = RelayCall::create(relayRequest(), relayHooks(), services.timers);
 }
@@ -104,6 +108,7 @@
     };
     hooks.abandon = [this](std::uint64_t exchange) { abandon(exchange); };
     hooks.forwardHead = [this](std::uint64_t exchange) { forwardHead(exchange); };
+    hooks.holdBytes = [this](std::size_t bytes) { return m_heldBytes.resize(bytes); };
     hooks.forwardBody = [this](std::string_view bytes) { forwardBody(bytes); };
     hooks.forwardEnd = [this] {
         // An error does not show that the target can run the request.
@@ -135,8 +140,10 @@
         finishIfSettled();
     });
     m_exchange->onDrained([this, alive = m_alive] {
-        if (*alive)
-            setPaused(false);
+        if (!*alive)
+            return;
+        m_pendingBytes.resize(0);
+        setPaused(false);
     });
     // Generations fill a target's memory, so what other nodes have just sent there matters.
     if (load().promptTokens == 0) {
@@ -319,6 +326,7 @@
     // connection; and a request written to a kept connection that has gone silent may have run. A
     // new connection costs a round trip and excludes both.
     options.isConnectionKept = false;
+    options.receiveBufferBytes = ReceiveBufferBytes;
     options.connectTimeout = ConnectTimeout;
     options.headTimeout = send.deadline;
     options.idleTimeout = send.deadline;
@@ -455,7 +463,8 @@
         m_longestGap = std::max(m_longestGap, now - m_lastPartAt);
     m_lastPartAt = now;
     m_exchange->write(std::string(bytes));
-    if (m_exchange->pendingBytes() > MaxPendingBytes)
+    const std::size_t pending = m_exchange->pendingBytes();
+    if (!m_pendingBytes.resize(pending) || pending > MaxPendingBytes)
         setPaused(true);
 }
 
--- a/src/daemon/relaysession.h
+++ b/src/daemon/relaysession.h
@@ -7,6 +7,7 @@
 #include "blame/poisontracker.h"
 #include "config/catalogholder.h"
 #include "daemon/entrytypes.h"
+#include "limits/bufferbudget.h"
 #include "limits/targetlimiter.h"
 #include "net/fetcher.h"
 #include "observe/metrics.h"
@@ -68,6 +69,7 @@
     std::function<void(AbandonedRun run)> stopRun;
     /// Called before a request is sent to a target where a run of it may have to be stopped.
     std::function<void(const RequestId &id, const TargetId &target)> cancelStop;
+    BufferBudget &buffers; ///< For bytes of answers.
     PoisonTracker &poison;
     Metrics &metrics;
 };
@@ -176,8 +178,10 @@
     std::map<std::uint64_t, TargetExchange> m_exchanges;
     std::map<std::uint64_t, TargetId> m_reservations; ///< Of copies under way, by move.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
-    bool m_isPaused = false;      ///< The targets wait for the caller to read.
-    bool m_isWithoutRoom = false; ///< Refused because no target has room for the generation.
+    BufferBudget::Holder m_heldBytes;    ///< By the call.
+    BufferBudget::Holder m_pendingBytes; ///< For the caller's connection.
+    bool m_isPaused = false;             ///< The targets wait for the caller to read.
+    bool m_isWithoutRoom = false;        ///< Refused because no target has room for the generation.
     bool m_isDone = false;
 };
 
--- a/src/daemon/tests/loopnode.cpp
+++ b/src/daemon/tests/loopnode.cpp
@@ -52,6 +52,7 @@
     settings.callers = {"127.0.0.1", 0};
     settings.readiness = {"127.0.0.1", 0};
     settings.maxKeyAge = 1min;
+    settings.memoryLimit = std::size_t{110} * 1024 * 1024;
     settings.retrySlack = 1000;
     settings.retryWindow = 1ms;
     node = std::move(EntryNode::create(settings, bindings(), *bench.loop).value());
--- a/src/net/h2ocall.cpp
+++ b/src/net/h2ocall.cpp
@@ -10,6 +10,8 @@
 
 namespace currantwalk {
 
+// Of a connection's input buffer that has been emptied.
+static constexpr std::size_t MaxKeptBufferBytes = std::size_t{16} * 1024;
 // How soon to look again whether a long request has been written and the head is being read.
 static constexpr Duration HeadWatchInterval = std::chrono::milliseconds(1);
 
@@ -144,10 +146,19 @@
     return recv(h2o_socket_get_fd(m_client->sock), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+// The library reads all that the socket holds at once, whether or not the bytes can go on.
+void ClientExchange::limitReceiveBuffer()
+{
+    const int bytes = static_cast<int>(m_options.receiveBufferBytes);
+    if (bytes != 0)
+        setsockopt(h2o_socket_get_fd(m_client->sock), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+}
+
 // From here on the library writes the request, perhaps before this returns.
 void ClientExchange::connected(h2o_iovec_t **buffers, std::size_t *bufferCount)
 {
     m_progress = SendProgress::Sent;
+    limitReceiveBuffer();
     armDeadline(m_options.headTimeout, [this] {
         fail(makeError(ErrorCode::DeadlineExceeded, "no answer within the head timeout"));
     });
@@ -299,20 +310,30 @@
     return -1;
 }
 
+// The library keeps the largest size that a buffer had for as long as the connection is open.
+static void releaseLargeBuffer(h2o_buffer_t **buffer)
+{
+    if ((*buffer)->size != 0 || (*buffer)->capacity <= MaxKeptBufferBytes)
+        return;
+    h2o_buffer_dispose(buffer);
+    h2o_buffer_init(buffer, &h2o_socket_buffer_prototype);
+}
+
 void ClientExchange::bodyArrived()
 {
     h2o_buffer_t **input = &m_client->sock->input;
     const std::size_t size = (*input)->size;
     m_hasBodyProgress = m_hasBodyProgress || size != 0;
     m_lastActivity = m_context->timers.now();
-    if (m_isPaused || !m_held.empty()) {
+    if (m_isPaused || !m_held.empty())
         m_held.append((*input)->bytes, size);
-        if (!m_isReadStopped)
-            stopReading();
-    } else if (size != 0 && m_hooks.onBody) {
+    else if (size != 0 && m_hooks.onBody)
         m_hooks.onBody({(*input)->bytes, size});
-    }
+    const bool isWaiting = m_isPaused || !m_held.empty();
+    if (isWaiting && !m_isEnded && !m_isReadStopped)
+        stopReading();
     h2o_buffer_consume(input, size);
+    releaseLargeBuffer(input);
 }
 
 // The library takes a close between two chunks for the end of the body.
--- a/src/net/h2ocall.h
+++ b/src/net/h2ocall.h
@@ -86,6 +86,7 @@
     absl::Status checkWritable() const;
     bool hasEarlyBytes() const;
     void buildHead();
+    void limitReceiveBuffer();
 
     std::shared_ptr<ClientContext> m_context;
     ClientPool &m_pool;
