--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -17,8 +17,6 @@
 static constexpr Duration NoTargetRetryAfter = std::chrono::milliseconds(500);
 // Bytes that wait for the caller's connection before the target is held back.
 static constexpr std::size_t MaxPendingBytes = std::size_t{16} * 1024;
-// Bytes that a target may have sent while the node does not read.
-static constexpr std::uint32_t ReceiveBufferBytes = 16 * 1024;
 // Where nothing is known of a generation's length, this part of its limit is expected.
 static constexpr std::uint32_t UnknownLengthDivisor = 2;
 
@@ -326,7 +324,6 @@
     // connection; and a request written to a kept connection that has gone silent may have run. A
     // new connection costs a round trip and excludes both.
     options.isConnectionKept = false;
-    options.receiveBufferBytes = ReceiveBufferBytes;
     options.connectTimeout = ConnectTimeout;
     options.headTimeout = send.deadline;
     options.idleTimeout = send.deadline;
--- a/src/net/h2ocall.cpp
+++ b/src/net/h2ocall.cpp
@@ -146,19 +146,10 @@
     return recv(h2o_socket_get_fd(m_client->sock), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-// The library reads all that the socket holds at once, whether or not the bytes can go on.
-void ClientExchange::limitReceiveBuffer()
-{
-    const int bytes = static_cast<int>(m_options.receiveBufferBytes);
-    if (bytes != 0)
-        setsockopt(h2o_socket_get_fd(m_client->sock), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
-}
-
 // From here on the library writes the request, perhaps before this returns.
 void ClientExchange::connected(h2o_iovec_t **buffers, std::size_t *bufferCount)
 {
     m_progress = SendProgress::Sent;
-    limitReceiveBuffer();
     armDeadline(m_options.headTimeout, [this] {
         fail(makeError(ErrorCode::DeadlineExceeded, "no answer within the head timeout"));
     });
--- a/src/net/h2ocall.h
+++ b/src/net/h2ocall.h
@@ -86,7 +86,6 @@
     absl::Status checkWritable() const;
     bool hasEarlyBytes() const;
     void buildHead();
-    void limitReceiveBuffer();
 
     std::shared_ptr<ClientContext> m_context;
     ClientPool &m_pool;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -2,7 +2,6 @@
 #define CURRANTWALK_NET_HTTP_H
 
 #include <cstddef>
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -156,8 +155,6 @@
 {
     Endpoint endpoint;
     bool useTls = false;
-    /// Bytes of the answer that may have arrived without having been read; 0: the system's default.
-    std::uint32_t receiveBufferBytes = 0;
     bool isConnectionKept = true; ///< Whether the connection may serve another exchange afterwards.
     Duration connectTimeout = std::chrono::milliseconds(500);
     Duration headTimeout = std::chrono::seconds(30); ///< From the request to the answer's head.
