A further order to stop does not postpone the end of the process

Callers saw: requests in progress got no answer when a second SIGTERM came in a planned stop. Cause: it set the deadline anew, past the moment at which the platform kills the process. Change: the first order alone sets it.

Evidence: PlannedStop.aSecondOrderToStopDoesNotPostponeTheEnd on whole nodes, red without the change (the node had not stopped when it was killed), green with it.

--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -575,6 +575,11 @@
 
 void EntryNode::beginDrain()
 {
+    // The process is killed at the end of the grace of the first order.
+    if (!m_drain->isReady()) {
+        logLine(LogPart::Drain, LogLevel::Info, "A further order to stop changes nothing.");
+        return;
+    }
     leaveRoster();
     m_drain->begin();
     m_drain->setDeadline(m_settings.stopGrace - StopReserve);
--- a/src/daemon/tests/plannedstoptest.cpp
+++ b/src/daemon/tests/plannedstoptest.cpp
@@ -60,6 +60,25 @@
     checkAllAnswered();
 }
 
+// Guards against a process that is killed while it waits for a deadline that was set anew.
+TEST(PlannedStop, aSecondOrderToStopDoesNotPostponeTheEnd)
+{
+    for (const std::unique_ptr<SimServer> &server : fleet->servers)
+        server->options.work = 15s;
+    const TimePoint killedAt = fleet->timers.now() + Grace;
+    for (int i = 0; i < 5; ++i)
+        fleet->request(0, "POST", "/stream/x", "body " + std::to_string(i), tally);
+    fleet->node(0).beginDrain();
+    for (const Duration pause : {2s, 2s, 2s}) {
+        fleet->run(pause);
+        fleet->node(0).beginDrain();
+    }
+    while (!fleet->hasStopped(0) && fleet->timers.now() < killedAt)
+        fleet->run(10ms);
+    CHECK(fleet->hasStopped(0));
+    LONGS_EQUAL(0, tally.open);
+}
+
 TEST(PlannedStop, requestsAreAnsweredWhileNodesStopAndTheStoreIsAway)
 {
     fleet->setStoreUp(false);
