Refuse what a stopping process could not finish

Callers saw (another operator's report, shown on whole nodes): in a planned stop, requests that came in the 3 s of the announcement were passed on and cut off at the end of the grace, also those that may not be repeated.

Cause: the node asked whether it takes requests, never whether one can end before the process does.

Change: CompletionEstimate keeps the mean time of a service's answers by expected tokens; while the process stops, a request that is expected to take longer than the time left gets 503 with the promise that it has not run, at once, and again when its connection is open, for those that waited. Streams that have begun are not concerned.

--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -265,6 +265,12 @@
                 refuse(exchange, refusal);
             },
             [this] { return !m_drain->isReady(); },
+            [this]() -> std::optional<Duration> {
+                if (!m_stopAt)
+                    return std::nullopt;
+                return *m_stopAt - m_loop.timers().now();
+            },
+            m_completions,
             [this] { m_loads.onChange(); },
             [this](std::function<void()> done) { m_loads.refresh(std::move(done)); },
             [this](const TargetSendNote &send, const RelayAnswerHead &answer) {
@@ -583,6 +589,7 @@
     leaveRoster();
     m_drain->begin();
     m_drain->setDeadline(m_settings.stopGrace - StopReserve);
+    m_stopAt = m_loop.timers().now() + m_settings.stopGrace - StopReserve;
 }
 
 } // namespace currantwalk
--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -112,6 +112,9 @@
         // An error does not show that the target can run the request.
         m_services.poison.onReleased(m_fingerprint, m_call->target(), isSuccessStatus(m_status));
         m_exchange->finish();
+        if (isSuccessStatus(m_status))
+            m_services.completions.onAnswered(m_service, load().expectedTokens,
+                                              m_services.timers.now() - m_arrivedAt);
         logOutcome("done", "");
     };
     hooks.forwardAbort = [this](const absl::Status &reason) {
@@ -223,12 +226,22 @@
            || m_services.hasRoom(m_service, load(), service->engine->memoryTokens);
 }
 
+// What would be cut off by the end of the process is refused while it has not run. A stream that
+// has begun is not: its caller has a part of it.
+bool RelaySession::canEndBeforeStop() const
+{
+    const std::optional<Duration> left = m_services.timeUntilStop();
+    return !left || m_firstPartAt
+           || m_services.completions.expectedTime(m_service, load().expectedTokens) <= *left;
+}
+
 std::optional<TargetId> RelaySession::place(const std::vector<TargetId> &excluded)
 {
     if (!mayUseKey(m_services.settings.maxKeyAge) || isPoisonous())
         return std::nullopt;
+    m_isTooLate = !canEndBeforeStop();
     m_isWithoutRoom = !hasRoom();
-    if (m_isWithoutRoom)
+    if (m_isTooLate || m_isWithoutRoom)
         return std::nullopt;
     const ServiceTarget *const target =
             m_services.choose(m_service, excluded, m_services.settings.zone, 0);
@@ -346,8 +359,8 @@
         const bool isAllowed = isResumed ? mayGoOn() : mayUseKey(m_services.settings.maxKeyAge);
         const bool isTaking = current && current->phase != TargetPhase::Leaving
                               && (isResumed || !isHeldOff(*current));
-        const bool mayWrite = isAllowed && isTaking && !isPoisonous() && takeGrant(exchange)
-                              && m_call->onConnected(exchange);
+        const bool mayWrite = isAllowed && isTaking && canEndBeforeStop() && !isPoisonous()
+                              && takeGrant(exchange) && m_call->onConnected(exchange);
         if (mayWrite)
             noteRunning(exchange);
         return mayWrite;
@@ -513,6 +526,8 @@
     }
     if (failure.outcome == Outcome::NotRun && m_isWithoutRoom)
         refusal.reason = errorName(ErrorCode::Overloaded);
+    if (failure.outcome == Outcome::NotRun && m_isTooLate)
+        refusal.reason = errorName(ErrorCode::Draining);
     if (failure.outcome == Outcome::NotRun && isPoisonous())
         refusal.reason = errorName(ErrorCode::PoisonousRequest);
     m_services.refuse(*m_exchange, refusal);
--- a/src/daemon/relaysession.h
+++ b/src/daemon/relaysession.h
@@ -7,6 +7,7 @@
 #include "blame/poisontracker.h"
 #include "config/catalogholder.h"
 #include "daemon/entrytypes.h"
+#include "drain/completionestimate.h"
 #include "limits/bufferbudget.h"
 #include "limits/targetlimiter.h"
 #include "net/fetcher.h"
@@ -58,6 +59,9 @@
     std::function<void(const TargetId &target, SendResult service)> report;
     std::function<void(HttpExchange &exchange, const EntryRefusal &refusal)> refuse;
     std::function<bool()> isStopping;
+    /// Returns the time until the process ends; nothing if it is not told to stop.
+    std::function<std::optional<Duration>()> timeUntilStop;
+    CompletionEstimate &completions;
     std::function<void()> loadsChanged;
     /// Calls \a done when the loads of other nodes are known as well as they can be soon.
     std::function<void(std::function<void()> done)> refreshLoads;
@@ -123,6 +127,7 @@
     bool mayGoOn() const;
     bool isPoisonous() const;
     bool hasRoom() const;
+    bool canEndBeforeStop() const;
     void noteRunning(std::uint64_t exchange);
     void noteLost(std::uint64_t exchange);
     bool isHeldOff(const ServiceTarget &target) const;
@@ -181,7 +186,8 @@
     BufferBudget::Holder m_heldBytes;    ///< By the call.
     BufferBudget::Holder m_pendingBytes; ///< For the caller's connection.
     bool m_isPaused = false;             ///< The targets wait for the caller to read.
-    bool m_isWithoutRoom = false;        ///< Refused because no target has room for the generation.
+    bool m_isTooLate = false;     ///< Refused because the process ends before its answer would.
+    bool m_isWithoutRoom = false; ///< Refused because no target has room for the generation.
     bool m_isDone = false;
 };
 
--- a/src/daemon/tests/plannedstoptest.cpp
+++ b/src/daemon/tests/plannedstoptest.cpp
@@ -79,6 +79,31 @@
     LONGS_EQUAL(0, tally.open);
 }
 
+// Guards against requests that are taken late in a planned stop and cut off at its end.
+TEST(PlannedStop, streamsThatWouldBeCutOffAtTheEndAreRefusedAtOnce)
+{
+    for (const std::unique_ptr<SimServer> &server : fleet->servers) {
+        if (server->options.service == "engines")
+            server->options.events = 150;
+    }
+    for (std::size_t i = 0; i < 4; ++i)
+        fleet->request(0, "POST", "/stream/x", "body " + std::to_string(i), tally);
+    fleet->run(10s);
+    LONGS_EQUAL(4, tally.served);
+    fleet->node(0).beginDrain();
+    const TimePoint killedAt = fleet->timers.now() + Grace;
+    for (int i = 0; !fleet->hasStopped(0) && fleet->timers.now() < killedAt; ++i) {
+        if (i % 10 == 0)
+            fleet->request(0, "POST", "/stream/x", "late " + std::to_string(i), tally);
+        sendTo(3);
+        fleet->run(20ms);
+    }
+    CHECK(fleet->hasStopped(0));
+    fleet->killNode(0);
+    checkAllAnswered();
+    CHECK(tally.slowestRefusal <= 100ms);
+}
+
 TEST(PlannedStop, requestsAreAnsweredWhileNodesStopAndTheStoreIsAway)
 {
     fleet->setStoreUp(false);
