--- a/src/daemon/tests/endlessbytestest.cpp
+++ b/src/daemon/tests/endlessbytestest.cpp
@@ -98,7 +98,7 @@
     for (std::size_t i = 0; i < Connections; ++i)
         start("/stream/x", "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: ");
     // Just short of the bound of one event.
-    CHECK(sendAll(1000 * 1000) + IdleMemory < MemoryLimit);
+    CHECK(sendAll(1'000'000) + IdleMemory < MemoryLimit);
     checkServes();
 }
 
@@ -110,7 +110,7 @@
             "HTTP/1.1 200 OK\r\ncontent-length: 999999999\r\n\r\n"};
     for (std::size_t i = 0; i < 2 * Connections; ++i)
         start(i % 2 == 0 ? "/once/x" : "/safe/x", Heads[i % 3]);
-    CHECK(sendAll(250 * 1000) + IdleMemory < MemoryLimit);
+    CHECK(sendAll(250'000) + IdleMemory < MemoryLimit);
     checkServes();
 }
 
@@ -130,6 +130,6 @@
             "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\nname: "};
     for (std::size_t i = 0; i < 2 * Connections; ++i)
         start("/once/x", Heads[i % 5]);
-    CHECK(sendAll(60 * 1000) + IdleMemory < MemoryLimit);
+    CHECK(sendAll(60'000) + IdleMemory < MemoryLimit);
     checkServes();
 }
