--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -158,7 +158,7 @@
 {
     const std::size_t length = sequenceLength(static_cast<unsigned char>(text[0]));
     return length <= text.size() && length != 0 && isValidSequence(text.substr(0, length)) ? length
-                                                                                          : 0;
+                                                                                           : 0;
 }
 
 bool isValidUtf8(std::string_view text)
--- a/src/log/keyedtopicfollower.cpp
+++ b/src/log/keyedtopicfollower.cpp
@@ -181,9 +181,9 @@
 
 void KeyedTopicFollower::abandonScan(const absl::Status &reason)
 {
-    const absl::Status status = makeError(ErrorCode::JsonInvalid,
-                                          "the keys after \"" + m_after + "\" can't be read: "
-                                                  + std::string(reason.message()));
+    const absl::Status status =
+            makeError(ErrorCode::JsonInvalid, "the keys after \"" + m_after + "\" can't be read: "
+                                                      + std::string(reason.message()));
     if (!m_options.areRecordsRenewed) {
         handleFailure(status);
         return;
