Test of endless bytes: declare the sanitizer's function, whose header GCC does not install

The header comes with clang's runtime; GCC installs the function in its runtime without the header.

Change: the test declares the one function that it calls, with the signature of the runtime's interface.

--- a/src/daemon/tests/endlessbytestest.cpp
+++ b/src/daemon/tests/endlessbytestest.cpp
@@ -4,14 +4,16 @@
 #include <vector>
 
 #include <unistd.h>
-#ifdef __SANITIZE_ADDRESS__
-#include <sanitizer/allocator_interface.h>
-#endif
 
 #include "daemon/tests/loopnode.h"
 
 #include <CppUTest/TestHarness.h>
 
+#ifdef __SANITIZE_ADDRESS__
+// From the sanitizer's runtime; GCC does not install the header that declares it.
+extern "C" std::size_t __sanitizer_get_current_allocated_bytes();
+#endif
+
 using namespace currantwalk;
 using namespace std::chrono_literals;
 
