Net: answers of any status and no length that break off do not look whole

Cause: ResponseStream left the transfer coding to the library, which writes chunks for status 200 only and ends other bodies of unknown length by closing the connection. abort() shuts the socket down and relied on the missing last chunk.

Change: ResponseStream decides the framing when it writes the head, and writes chunks itself for all answers that have a body and no length. A caller of HTTP/1.0 can't read chunks, and gets a reset where its answer breaks off. There is one path for all statuses.

--- a/src/daemon/tests/loopnode.cpp
+++ b/src/daemon/tests/loopnode.cpp
@@ -116,12 +116,12 @@
     bench.runUntil([&] { return bench.loop->timers().now() >= until; });
 }
 
-void LoopNode::request(const std::string &path)
+void LoopNode::request(const std::string &path, const std::string &version)
 {
     caller = std::make_unique<RawSocket>(node->callersEndpoint());
     std::string_view rest;
     const std::string text =
-            "GET " + path + std::to_string(starts) + " HTTP/1.1\r\nhost: h\r\n\r\n";
+            "GET " + path + std::to_string(starts) + " " + version + "\r\nhost: h\r\n\r\n";
     CHECK(bench.runUntil([&] {
         rest = rest.empty() ? std::string_view(text) : rest;
         rest = caller->send(rest);
--- a/src/daemon/tests/loopnode.h
+++ b/src/daemon/tests/loopnode.h
@@ -48,7 +48,7 @@
     /// Changes the entry of a target and waits until the node has read it.
     void publish(const std::string &target, std::optional<std::string> entry);
 
-    void request(const std::string &path);
+    void request(const std::string &path, const std::string &version = "HTTP/1.1");
 
     /// Returns the connection of the next request with \a mark in its head.
     std::unique_ptr<RawSocket> takeRequest(RawListener &listener, const std::string &mark);
--- a/src/net/h2oexchange.cpp
+++ b/src/net/h2oexchange.cpp
@@ -60,6 +60,21 @@
         "connection",        "date",    "keep-alive", "proxy-connection", "te",
         "transfer-encoding", "trailer", "upgrade"};
 
+static constexpr int Http11 = 0x101;
+static constexpr int Http2 = 0x200;
+
+static constexpr const char *LastChunk = "0\r\n\r\n";
+
+static std::string chunkOf(const std::string &data)
+{
+    // Room for a size of 64 bits in hexadecimal digits.
+    std::array<char, 16> digits{};
+    const std::to_chars_result size =
+            std::to_chars(digits.data(), digits.data() + digits.size(), data.size(), 16);
+    std::string chunk(digits.data(), size.ptr);
+    return chunk.append("\r\n").append(data).append("\r\n");
+}
+
 static bool isConnectionField(std::string_view name)
 {
     return std::find(ConnectionFields.begin(), ConnectionFields.end(), name)
@@ -150,9 +165,26 @@
     m_request->res.reason = h2o_strdup(&m_request->pool, reason.data(), reason.size()).base;
     for (const HttpHeader &header : head.headers)
         addHeader(header);
+    m_framing = framingOfBody();
+    if (m_framing == Framing::Chunks) {
+        h2o_add_header(&m_request->pool, &m_request->res.headers, H2O_TOKEN_TRANSFER_ENCODING,
+                       nullptr, H2O_STRLIT("chunked"));
+    }
     h2o_start_response(m_request, &m_generator);
 }
 
+// The library writes chunks for status 200 only, and ends other bodies by the connection's end.
+ResponseStream::Framing ResponseStream::framingOfBody() const
+{
+    static constexpr int NoContent = 204;
+    static constexpr int NotModified = 304;
+    const int status = m_request->res.status;
+    if (m_request->res.content_length != SIZE_MAX || m_isHeadOnly || status == NoContent
+        || status == NotModified || m_request->version >= Http2)
+        return Framing::Length;
+    return m_request->version >= Http11 ? Framing::Chunks : Framing::Connection;
+}
+
 void ResponseStream::addHeader(const HttpHeader &header)
 {
     if (header.name == "content-length") {
@@ -194,12 +226,17 @@
         return;
     }
     m_writtenBytes += data.size();
-    m_queuedBytes += data.size();
-    m_queued.push_back(std::move(data));
+    queue(m_framing == Framing::Chunks ? chunkOf(data) : std::move(data));
     if (!m_isSending)
         flush();
 }
 
+void ResponseStream::queue(std::string data)
+{
+    m_queuedBytes += data.size();
+    m_queued.push_back(std::move(data));
+}
+
 void ResponseStream::finish()
 {
     if (m_state != State::Open)
@@ -212,24 +249,38 @@
         abort();
         return;
     }
+    if (m_framing == Framing::Chunks)
+        queue(LastChunk);
     m_state = State::Finishing;
     if (!m_isSending)
         flush();
 }
 
-// Shutting the socket down makes every later write of the library fail, so the answer can't look
-// whole to the caller whatever the library still holds.
 void ResponseStream::abort()
 {
     if (m_state == State::Aborting || m_state == State::Sent)
         return;
     m_state = State::Aborting;
     unwatchPeer();
-    ::shutdown(h2o_socket_get_fd(socket()), SHUT_RDWR);
+    disconnect();
     if (!m_isSending)
         endInLibrary();
 }
 
+// After it every write of the library fails, so that the answer can't look whole to the caller
+// whatever the library still holds. A regular end would complete a body that has no other one.
+void ResponseStream::disconnect()
+{
+    const int fd = h2o_socket_get_fd(socket());
+    if (m_framing == Framing::Connection) {
+        const sockaddr none{AF_UNSPEC, {}};
+        // Resets the connection at once; closing it with a linger time of 0 would come too late.
+        if (::connect(fd, &none, sizeof(none)) == 0)
+            return;
+    }
+    ::shutdown(fd, SHUT_RDWR);
+}
+
 // Ends the library's request, which deletes this stream.
 void ResponseStream::endInLibrary()
 {
--- a/src/net/h2oexchange.h
+++ b/src/net/h2oexchange.h
@@ -41,6 +41,13 @@
         Sent,      ///< The last bytes were handed to the library.
     };
 
+    /// What tells the caller where the body ends.
+    enum class Framing {
+        Length,     ///< A declared length, no body at all, or the frames of HTTP/2.
+        Chunks,     ///< Chunks, written by this class.
+        Connection, ///< The end of the connection, for callers that cannot read chunks.
+    };
+
     struct Generator : h2o_generator_t
     {
         ResponseStream *stream;
@@ -50,6 +57,9 @@
     static void onStop(h2o_generator_t *generator, h2o_req_t *request);
 
     void addHeader(const HttpHeader &header);
+    Framing framingOfBody() const;
+    void queue(std::string data);
+    void disconnect();
     bool acceptsBody(std::size_t bytes) const;
     void proceed();
     void flush();
@@ -69,6 +79,7 @@
     std::size_t m_writtenBytes = 0;
     TimerId m_peerTimer = NoTimer;
     State m_state = State::Open;
+    Framing m_framing = Framing::Length;
     bool m_isStarted = false;
     bool m_isSending = false;
     bool m_isHeadOnly = false;
--- a/src/net/tests/rawsocket.h
+++ b/src/net/tests/rawsocket.h
@@ -55,7 +55,9 @@
                 m_received.append(buffer.data(), static_cast<std::size_t>(size));
                 continue;
             }
-            m_isClosed = m_isClosed || size == 0 || (errno != EAGAIN && errno != ENOTCONN);
+            const bool isFailed = size < 0 && errno != EAGAIN && errno != ENOTCONN;
+            m_isReset = m_isReset || (isFailed && errno == ECONNRESET);
+            m_isClosed = m_isClosed || size == 0 || isFailed;
             return;
         }
     }
@@ -71,11 +73,14 @@
     const std::string &received() const { return m_received; }
     /// Returns whether receive() or send() found the connection closed by the other side.
     bool isClosed() const { return m_isClosed; }
+    /// Returns whether receive() found the connection reset by the other side.
+    bool isReset() const { return m_isReset; }
 
 private:
     int m_fd;
     std::string m_received;
     bool m_isClosed = false;
+    bool m_isReset = false;
 };
 
 /// A listening socket on the loopback, for tests of the client.
