Log: peers of a zone's reader learn of removals whose records the store has deleted

Cause: the reader of a zone found a key missing in a scan after a 410, and KeyedTopicMirror::remove() had peers scan that were before the position from before the scan. The peers ask from exactly this position, so they were answered without the removal. The same for keys that came and went between two scans of the reader and that a peer has: nothing made that peer scan.

Change: the follower tells that a scan has ended (onScanned), the mirror notes a gap, and at the next position that is further on, peers from before it have to scan. A removal without a new position is told with the next change.

--- a/src/daemon/tests/simserver.cpp
+++ b/src/daemon/tests/simserver.cpp
@@ -56,7 +56,7 @@
 {
     writeEntry(m_isLeaving);
     m_net.timers().scheduleAfter(BeatInterval, [this, start = m_start] {
-        if (m_isUp && start == m_start)
+        if (m_isUp && start == m_start && (!m_isLeaving || options.announcesLeaving))
             beat();
     });
 }
@@ -102,7 +102,10 @@
     if (!m_isUp)
         return;
     m_isLeaving = true;
-    writeEntry(true);
+    if (options.announcesLeaving)
+        writeEntry(true);
+    else
+        m_store.append(TargetsTopic, m_id, std::nullopt);
     m_net.timers().scheduleAfter(options.leavingTime, [this, start = m_start] {
         if (!m_isUp || start != m_start)
             return;
--- a/src/daemon/tests/simserver.h
+++ b/src/daemon/tests/simserver.h
@@ -83,6 +83,8 @@
         Duration restartAfter = std::chrono::milliseconds(2500);
         /// From the announcement that it leaves until it ends.
         Duration leavingTime = std::chrono::milliseconds(1500);
+        /// Whether its entry says that it leaves; if not, the entry is removed at once.
+        bool announcesLeaving = true;
         /// From when it begins a request that crashes it.
         Duration crashDelay = std::chrono::milliseconds(2);
         SimEnd crash = SimEnd::Reset;
@@ -116,7 +118,7 @@
 
     void start();
     void crash(SimEnd end);
-    /// Announces that it leaves, and leaves; another takes its place.
+    /// Announces that it leaves, or removes its entry, and leaves later; another takes its place.
     void leave();
     void resetConnections();
     /// Names a limit of requests a second, from all nodes together, in its answers from now on;
--- a/src/daemon/topicexchange.cpp
+++ b/src/daemon/topicexchange.cpp
@@ -108,6 +108,11 @@
         if (inner)
             inner(earlier, era);
     };
+    callbacks.onScanned = [this, name, inner = events.onScanned] {
+        m_topics[name].mirror.noteGap();
+        if (inner)
+            inner();
+    };
     callbacks.onPosition = [this, name, inner = events.onPosition](std::uint64_t era,
                                                                    LogOffset next) {
         m_topics[name].mirror.setPosition(era, next);
--- a/src/log/keyedtopicfollower.cpp
+++ b/src/log/keyedtopicfollower.cpp
@@ -194,12 +194,8 @@
         if (m_scannedKeys.find(key) == m_scannedKeys.end())
             m_unlisted.insert(key);
     }
-    m_scannedKeys.clear();
-    m_isScanComplete = true;
-    handleSuccess();
+    completeScan();
     m_renewedSince = m_timers.now();
-    if (m_events.onPosition)
-        m_events.onPosition(m_era, *m_readFrom);
     readTail();
 }
 
@@ -223,14 +219,21 @@
         m_offsets.erase(key);
         m_events.onKeyRemoved(key);
     }
+    completeScan();
+    if (m_scanProvenAt)
+        confirm(*m_scanProvenAt, m_isScanEraSettled);
+    readTail();
+}
+
+void KeyedTopicFollower::completeScan()
+{
     m_scannedKeys.clear();
     m_isScanComplete = true;
     handleSuccess();
+    if (m_events.onScanned)
+        m_events.onScanned();
     if (m_events.onPosition)
         m_events.onPosition(m_era, *m_readFrom);
-    if (m_scanProvenAt)
-        confirm(*m_scanProvenAt, m_isScanEraSettled);
-    readTail();
 }
 
 void KeyedTopicFollower::readTail()
--- a/src/log/keyedtopicfollower.h
+++ b/src/log/keyedtopicfollower.h
@@ -86,6 +86,9 @@
     /// The store was restored from a copy: records that it had acknowledged may be missing. Not
     /// called for the first era. All keys are read again next.
     std::function<void(std::uint64_t earlierEra, std::uint64_t era)> onRestored;
+    /// All keys were read: changes before the next position may not have been reported one by one.
+    /// Called before onPosition.
+    std::function<void()> onScanned;
     /// All records before \a next have been reported. Called after a scan and after each read of
     /// the tail, before onUpToDate.
     std::function<void(std::uint64_t era, LogOffset next)> onPosition;
@@ -164,6 +167,7 @@
     void readPage();
     void handlePage(const absl::StatusOr<KeyedPage> &page);
     void finishScan();
+    void completeScan();
     void abandonScan(const absl::Status &reason);
     bool isScanBlocked(const absl::Status &failure) const;
     void removeUnlisted();
--- a/src/log/keyedtopicmirror.cpp
+++ b/src/log/keyedtopicmirror.cpp
@@ -1,6 +1,7 @@
 #include "log/keyedtopicmirror.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace currantwalk {
 
@@ -13,13 +14,15 @@
         dropOldestTombstone();
 }
 
-// The scan that found the key missing does not tell the offset of its tombstone, so readers of the
-// tail have to scan as well.
+// The scan that found the key missing does not tell the offset of its tombstone. Readers that have
+// this position now got it without the tombstone.
 void KeyedTopicMirror::remove(const std::string &key)
 {
-    const bool isKnown = m_offsets.find(key) != m_offsets.end();
+    if (m_offsets.find(key) == m_offsets.end())
+        return;
     erase(key);
-    if (isKnown && m_next)
+    noteGap();
+    if (m_next)
         m_completeFrom = std::max(m_completeFrom, *m_next);
 }
 
@@ -29,13 +32,15 @@
     m_era = era;
 }
 
-// The tombstones before the end of a scan are not known.
 void KeyedTopicMirror::setPosition(std::uint64_t era, LogOffset next)
 {
     m_era = era;
-    if (!m_next)
+    const bool isAhead = !m_next || next > *m_next;
+    if (!isAhead)
+        return;
+    if (std::exchange(m_hasGap, false))
         m_completeFrom = next;
-    m_next = std::max(next, m_next.value_or(next));
+    m_next = next;
 }
 
 void KeyedTopicMirror::erase(const std::string &key)
--- a/src/log/keyedtopicmirror.h
+++ b/src/log/keyedtopicmirror.h
@@ -19,8 +19,11 @@
 
     /// Adds or replaces the record of a key.
     void apply(const KeyedRecord &record);
-    /// Drops a key that the topic no longer has.
+    /// Drops a key that the topic no longer has. Implies noteGap().
     void remove(const std::string &key);
+    /// Tombstones before the next position are not known: readers of the tail that are behind it
+    /// have to scan.
+    void noteGap() { m_hasGap = true; }
     /// Drops all records; the topic is being read again in \a era.
     void reset(std::uint64_t era);
     /// Called when all records before \a next have been applied.
@@ -41,7 +44,8 @@
     std::map<LogOffset, KeyedRecord> m_records; ///< The newest of each key, tombstones included.
     std::map<std::string, LogOffset> m_offsets;
     std::size_t m_tombstones = 0;
-    LogOffset m_completeFrom = 0; ///< No tombstone from here on has been dropped.
+    LogOffset m_completeFrom = 0; ///< All tombstones from here on are known.
+    bool m_hasGap = true;         ///< Those before the next position are not.
     std::uint64_t m_era = 0;
     std::optional<LogOffset> m_next;
 
--- a/src/log/tests/keyedtopicmirrortest.cpp
+++ b/src/log/tests/keyedtopicmirrortest.cpp
@@ -69,6 +69,38 @@
     CHECK(mirror.tail(11).ok());
 }
 
+// Guards against peers that keep a key for good: they have the position from before the scan.
+TEST(KeyedTopicMirror, readersAtThePositionBeforeAScanScanAgainIfItFoundAKeyMissing)
+{
+    mirror.remove("a");
+    mirror.setPosition(1, 13);
+    CHECK(errorCode(mirror.tail(10).status()) == ErrorCode::LogRecordsExpired);
+    CHECK(errorCode(mirror.tail(12).status()) == ErrorCode::LogRecordsExpired);
+    CHECK(mirror.tail(13).ok());
+    mirror.setPosition(1, 14);
+    CHECK(mirror.tail(13).ok());
+}
+
+// Readers that were told this position before learn of the removal with the next change.
+TEST(KeyedTopicMirror, aRemovalWithoutANewPositionIsToldWithTheNextOne)
+{
+    mirror.remove("a");
+    mirror.setPosition(1, 10);
+    CHECK(mirror.tail(10).ok());
+    mirror.setPosition(1, 11);
+    CHECK(errorCode(mirror.tail(10).status()) == ErrorCode::LogRecordsExpired);
+    CHECK(mirror.tail(11).ok());
+}
+
+// A key that came and went between two scans was never in the mirror, but may be a reader's.
+TEST(KeyedTopicMirror, readersFromBeforeTheEndOfALaterScanScanAgain)
+{
+    mirror.noteGap();
+    mirror.setPosition(1, 15);
+    CHECK(errorCode(mirror.tail(12).status()) == ErrorCode::LogRecordsExpired);
+    CHECK(mirror.tail(15).ok());
+}
+
 TEST(KeyedTopicMirror, resetDropsWhatAnEarlierEraHad)
 {
     mirror.reset(2);
