Net: a 304 with a length is passed on

Callers saw: a closed connection and no answer where a server answered 304 with a Content-Length (found by the review, no case).

Cause: ResponseStream::finish() breaks off answers with fewer bytes than their declared length, and excused those to HEAD only.

Change: hasBodyByStatus() tells which statuses have a body. Framing, writing and the check of the length ask it.

Evidence: AnswerFraming.notModifiedWithALengthIsWhole waits in vain for the answer without the check of the status, and passes with it. Client.answersWithoutABodyAreWholeBehindTheirHead was green before: servers' answers were read rightly. AnswerFraming's search for a declared length in answers without one now spells the field as the library does; it could not find one before.

--- a/src/daemon/tests/answerframingtest.cpp
+++ b/src/daemon/tests/answerframingtest.cpp
@@ -42,7 +42,7 @@
             caller->receive();
             return endsInLastChunk() || caller->isClosed();
         }));
-        CHECK(!hasText("content-length"));
+        CHECK(!hasText("Content-Length"));
         if (hasText("transfer-encoding: chunked"))
             return endsInLastChunk();
         return !caller->isReset();
@@ -115,3 +115,21 @@
         }
     }
 }
+
+// Guards against a connection that is closed in place of an answer: the length is that of the body
+// which a status of 200 would have had.
+TEST(AnswerFraming, notModifiedWithALengthIsWhole)
+{
+    request("/safe/x");
+    std::unique_ptr<RawSocket> target = takeRequest(first, "from: none");
+    write(*target, "HTTP/1.1 304 Not Modified\r\ncontent-length: 5\r\n\r\n");
+    awaitCaller("Content-Length: 5\r\n");
+    awaitCaller("\r\n\r\n");
+    CHECK(hasText("HTTP/1.1 304"));
+    end(std::move(target), End::Closed);
+    bench.runUntil([rounds = 0]() mutable { return ++rounds > 20; });
+    write(*caller, "GET /safe/y HTTP/1.1\r\nhost: h\r\n\r\n");
+    target = takeRequest(first, "from: none");
+    write(*target, "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole");
+    awaitCaller("\r\n\r\nwhole");
+}
--- a/src/net/h2oexchange.cpp
+++ b/src/net/h2oexchange.cpp
@@ -173,14 +173,15 @@
     h2o_start_response(m_request, &m_generator);
 }
 
+bool ResponseStream::hasBody() const
+{
+    return !m_isHeadOnly && hasBodyByStatus(m_request->res.status);
+}
+
 // The library writes chunks for status 200 only, and ends other bodies by the connection's end.
 ResponseStream::Framing ResponseStream::framingOfBody() const
 {
-    static constexpr int NoContent = 204;
-    static constexpr int NotModified = 304;
-    const int status = m_request->res.status;
-    if (m_request->res.content_length != SIZE_MAX || m_isHeadOnly || status == NoContent
-        || status == NotModified || m_request->version >= Http2)
+    if (!hasBody() || m_request->res.content_length != SIZE_MAX || m_request->version >= Http2)
         return Framing::Length;
     return m_request->version >= Http11 ? Framing::Chunks : Framing::Connection;
 }
@@ -218,7 +219,7 @@
         return;
     if (!m_isStarted)
         start({});
-    if (m_isHeadOnly)
+    if (!hasBody())
         return;
     // More than the declared length would run into the next answer on this connection.
     if (!acceptsBody(data.size())) {
@@ -245,7 +246,7 @@
         start({});
     const std::size_t length = m_request->res.content_length;
     // Less than the declared length would leave the caller waiting for the next answer's bytes.
-    if (!m_isHeadOnly && length != SIZE_MAX && m_writtenBytes != length) {
+    if (hasBody() && length != SIZE_MAX && m_writtenBytes != length) {
         abort();
         return;
     }
--- a/src/net/h2oexchange.h
+++ b/src/net/h2oexchange.h
@@ -60,6 +60,7 @@
     Framing framingOfBody() const;
     void queue(std::string data);
     void disconnect();
+    bool hasBody() const;
     bool acceptsBody(std::size_t bytes) const;
     void proceed();
     void flush();
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -26,6 +26,14 @@
     });
 }
 
+bool hasBodyByStatus(int status)
+{
+    constexpr int LastInterim = 199;
+    constexpr int NoContent = 204;
+    constexpr int NotModified = 304;
+    return status > LastInterim && status != NoContent && status != NotModified;
+}
+
 bool isSendable(const HttpRequest &request)
 {
     return isToken(request.method) && isPath(request.path)
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -50,6 +50,9 @@
     HttpHeaders headers;
 };
 
+/// Returns whether answers of \a status have a body, whatever their fields say.
+bool hasBodyByStatus(int status);
+
 /// One request received by a server and the answer to it. The answer is streamed: start(), any
 /// number of write(), then finish() or abort().
 class HttpExchange
--- a/src/net/tests/clienttest.cpp
+++ b/src/net/tests/clienttest.cpp
@@ -126,6 +126,23 @@
     }
 }
 
+// Guards against waiting for a body that such answers never have.
+TEST(Client, answersWithoutABodyAreWholeBehindTheirHead)
+{
+    for (const char *answer : {"HTTP/1.1 304 Not Modified\r\ncontent-length: 5\r\n\r\n",
+                               "HTTP/1.1 304 Not Modified\r\n\r\n",
+                               "HTTP/1.1 204 No Content\r\ntransfer-encoding: chunked\r\n\r\n"}) {
+        send();
+        acceptPeer();
+        awaitRequest();
+        peer->send(answer);
+        CHECK_TEXT(end().ok(), answer);
+        STRCMP_EQUAL("", record.body.c_str());
+        peer.reset();
+        bench.runUntil([rounds = 0]() mutable { return ++rounds > 5; });
+    }
+}
+
 TEST(Client, oversizedHeadIsATypedError)
 {
     send();
