Net: white space around the fields of answers is no part of their values

Cause: the library keeps the white space behind a value, and the codec took such a value for no number.

A try to do the same for requests made Rpc.strangerIsRefused fail, which has a key with a space behind it refused; requests' fields stay as they are.

--- a/src/net/h2ocall.cpp
+++ b/src/net/h2ocall.cpp
@@ -270,8 +270,8 @@
     HttpResponseHead head;
     head.status = status;
     for (std::size_t i = 0; i < headerCount; ++i)
-        head.headers.push_back(
-                {lowerCase(viewOf(*headers[i].name)), std::string(viewOf(headers[i].value))});
+        head.headers.push_back({lowerCase(viewOf(*headers[i].name)),
+                                std::string(fieldValue(viewOf(headers[i].value)))});
     m_isChunked = findHeader(head.headers, "transfer-encoding").has_value();
     m_overheadBytes = 0;
     m_isCloseDelimited = !m_isChunked && !findHeader(head.headers, "content-length");
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -26,6 +26,15 @@
     });
 }
 
+std::string_view fieldValue(std::string_view text)
+{
+    static constexpr std::string_view Space = " \t";
+    const std::size_t first = text.find_first_not_of(Space);
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(Space) - first + 1);
+}
+
 bool hasBodyByStatus(int status)
 {
     constexpr int LastInterim = 199;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -27,6 +27,9 @@
 /// Returns the value of the first field named \a name, which is in lower case, or nothing.
 std::optional<std::string_view> findHeader(const HttpHeaders &headers, std::string_view name);
 
+/// Returns \a text without the spaces and tabs around a field's value, which are no part of it.
+std::string_view fieldValue(std::string_view text);
+
 /// A request with its whole body; bodies are bounded by the listener's limit.
 struct HttpRequest
 {
--- a/src/net/tests/clienttest.cpp
+++ b/src/net/tests/clienttest.cpp
@@ -143,6 +143,16 @@
     }
 }
 
+// Guards against a value that is taken for none, or for another one, because of such space.
+TEST(Client, whiteSpaceAroundAValueIsNoPartOfIt)
+{
+    CHECK(answerAndClose("HTTP/1.1 200 OK\r\nretry-after:\t 6 \t\r\nempty: \r\n"
+                         "content-length: 0\r\n\r\n")
+                  .ok());
+    CHECK(findHeader(record.head.headers, "retry-after") == "6");
+    CHECK(findHeader(record.head.headers, "empty") == "");
+}
+
 TEST(Client, oversizedHeadIsATypedError)
 {
     send();
