Blame: records of deadly requests can be read whatever their text is

Servers saw: after a restart of all nodes, a request that crashes servers reached a fourth one (found by the review, no case).

Cause: the text of a record was cut at 120 bytes, also within a character, and written to the store as it was; no node can read such JSON.

Change: shortenedUtf8() replaces what is no UTF-8 and cuts behind a whole character.

Evidence: PoisonFleet.requestOfAnyTextStaysRefusedAfterAllNodesRestartAtOnce: "4 crashes" before, green now.

--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -185,4 +185,19 @@
     return valid;
 }
 
+std::string shortenedUtf8(std::string_view text, std::size_t maxBytes)
+{
+    // A replacement character takes more bytes than the one that it replaces, never fewer.
+    std::string valid = withValidUtf8(text.substr(0, maxBytes + 1));
+    std::size_t size = 0;
+    while (size < valid.size()) {
+        const std::size_t length = characterLength(std::string_view(valid).substr(size));
+        if (size + length > maxBytes)
+            break;
+        size += length;
+    }
+    valid.resize(size);
+    return valid;
+}
+
 } // namespace currantwalk
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -28,6 +28,9 @@
 /// Returns \a text with each byte that is no part of well-formed UTF-8 replaced by U+FFFD.
 std::string withValidUtf8(std::string_view text);
 
+/// Returns withValidUtf8() of \a text, cut behind a whole character to at most \a maxBytes.
+std::string shortenedUtf8(std::string_view text, std::size_t maxBytes);
+
 } // namespace currantwalk
 
 #endif // CURRANTWALK_BASE_JSON_H
--- a/src/blame/poisontracker.cpp
+++ b/src/blame/poisontracker.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/enumtable.h"
+#include "base/json.h"
 #include "blame/poisontable.h"
 
 namespace currantwalk {
@@ -298,8 +299,7 @@
     Run *const run = findRun(fingerprint, target);
     if (!run)
         return;
-    subject.resize(std::min(subject.size(), MaxSubjectBytes));
-    run->subject = std::move(subject);
+    run->subject = shortenedUtf8(subject, MaxSubjectBytes);
 }
 
 bool PoisonTable::wasAnswering(const Run &run) const
@@ -515,7 +515,7 @@
     evictRecords();
     Record &record = m_records[report.fingerprint];
     if (record.subject.empty())
-        record.subject = report.subject.substr(0, MaxSubjectBytes);
+        record.subject = shortenedUtf8(report.subject, MaxSubjectBytes);
     if (record.features.empty())
         record.features = report.features;
     record.isOfFeature = report.isOfFeature;
--- a/src/daemon/poisonmessages.cpp
+++ b/src/daemon/poisonmessages.cpp
@@ -34,7 +34,7 @@
     for (const Json::Value &row : json) {
         if (!row.isArray() || row.size() != RowSize || !row[0].isUInt64() || !row[1].isString())
             return makeError(ErrorCode::JsonInvalid, "a feature is malformed");
-        features.push_back({row[0].asUInt64(), row[1].asString().substr(0, MaxFeatureText)});
+        features.push_back({row[0].asUInt64(), shortenedUtf8(row[1].asString(), MaxFeatureText)});
     }
     return features;
 }
--- a/src/daemon/tests/poisonfleettest.cpp
+++ b/src/daemon/tests/poisonfleettest.cpp
@@ -105,6 +105,30 @@
     checkContained("/stream/p");
 }
 
+// Guards against records in the store that no node can read after a restart of all, because their
+// text was cut within a character or was no UTF-8 before.
+TEST(PoisonFleet, requestOfAnyTextStaysRefusedAfterAllNodesRestartAtOnce)
+{
+    std::string threeByteCharacters;
+    for (int i = 0; i < 60; ++i)
+        threeByteCharacters += "\xE2\x82\xAC";
+    const std::string paths[] = {"/stream/p" + threeByteCharacters,
+                                 "/stream/pp" + threeByteCharacters,
+                                 "/stream/ppp" + threeByteCharacters, "/stream/\xFF\xC0p"};
+    for (const std::string &path : paths) {
+        build();
+        fleet->repeatPoison(path, 300ms, 12s);
+        fleet->run(8s);
+        for (std::size_t i = 0; i < 7; ++i)
+            fleet->killNode(i);
+        fleet->run(500ms);
+        for (std::size_t i = 0; i < 7; ++i)
+            fleet->startNode(i);
+        fleet->run(20s);
+        checkContained(path);
+    }
+}
+
 TEST(PoisonFleet, requestIsRefusedOnBothSidesOfACutZone)
 {
     build();
