Placement: a new holder does not count on engines that former orders may have changed

The holder of fence 6 planned by an older report and ordered e2 to keep a/4, which dropped a/5, and e1 to drop a/4, since e2 was thought to serve a. Pools that check fencing numbers were excused from waiting for former orders, but an engine refuses those only after an order of the new holder.

Change: until an engine has reported after it accepted an order under this fencing number, or after former orders can no longer arrive, it does not count as serving for the change of another engine. Loading is not delayed.

--- a/src/placement/placementcontroller.cpp
+++ b/src/placement/placementcontroller.cpp
@@ -54,6 +54,8 @@
         TimePoint notBefore{};         // Backoff: no order is sent earlier.
         std::uint32_t failures = 0;    // Consecutive.
         std::uint64_t orderNumber = 0; // Latest order; identifies stale answers.
+        /// When the engine answered an order under this node's fencing number.
+        std::optional<TimePoint> fencedAt;
     };
 
     void schedule()
@@ -152,10 +154,22 @@
         backOff(state);
     }
 
+    // Returns whether an order of a former lease holder can still reach the engine, or has reached
+    // it since its last report. An engine that checks fencing numbers accepts such an order until
+    // it has had one of this node.
+    bool mayHaveFormerOrder(const Target &engine, const EngineState &state) const
+    {
+        const TimePoint settledAt = std::min(m_formerOrdersExpireAt,
+                                             state.fencedAt.value_or(m_formerOrdersExpireAt));
+        return engine.load.reportedAt < settledAt;
+    }
+
     PlannedEngine toPlannedEngine(const Target &engine) const
     {
         const EngineState &state = m_states.at(engine.id);
         PlannedEngine result{engine.id, engine.pool, engine.models, engine.models, false};
+        if (mayHaveFormerOrder(engine, state))
+            result.retained.clear();
         if (!state.isInProgress)
             return result;
         result.isBusy = true;
@@ -266,6 +280,7 @@
             return;
         if (status.ok()) {
             state->isAccepted = true;
+            state->fencedAt = m_timers.now();
             return;
         }
         // Another node holds the lease with a higher fencing number. Stop until this node acquires
