--- a/src/placement/placementcontroller.cpp
+++ b/src/placement/placementcontroller.cpp
@@ -159,8 +159,8 @@
     // it has had one of this node.
     bool mayHaveFormerOrder(const Target &engine, const EngineState &state) const
     {
-        const TimePoint settledAt = std::min(m_formerOrdersExpireAt,
-                                             state.fencedAt.value_or(m_formerOrdersExpireAt));
+        const TimePoint settledAt =
+                std::min(m_formerOrdersExpireAt, state.fencedAt.value_or(m_formerOrdersExpireAt));
         return engine.load.reportedAt < settledAt;
     }
 
--- a/src/placement/tests/placementtest.cpp
+++ b/src/placement/tests/placementtest.cpp
@@ -431,7 +431,7 @@
 // while new versions are published.
 TEST(Placement, everyModelStaysServedUnderFaults)
 {
-    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
         make(4, seed % 2 == 0, seed, seed % 4 < 2 ? 6 : 600);
         zone->addNode();
         zone->publish("a", "1", 2);
