Lint: the rate of loads is converted to a floating point number on purpose

Cause: Settings::weightLoadsPerMinute is an integer, the placer's rate is not. Change: an explicit conversion; no other value results from it.

--- a/src/daemon/duties.cpp
+++ b/src/daemon/duties.cpp
@@ -33,7 +33,7 @@
     PlacementController::Options options;
     options.zone = m_zone;
     options.modelsPerEngine = settings.modelsPerEngine;
-    options.loadsPerMinute = settings.weightLoadsPerMinute;
+    options.loadsPerMinute = static_cast<double>(settings.weightLoadsPerMinute);
     options.leaseDuration = leaseOptions.duration;
     PlacementController::Hooks hooks;
     hooks.lease = [this] { return m_leases->heldLease(m_duty); };
