Split the moves of RelayCall and the log lines of RelaySession into files

The restart of all nodes stood in four places of the tests and is EntryFleet::restartAllNodes() now; two tests of LeftRuns share checkStoppedAfterResets(). The comment of KeyedTopicMirror::remove() names which readers scan at once and which later.

--- /dev/null
+++ b/src/calls/relaycallmoves.cpp
@@ -0,0 +1,180 @@
+#include "calls/relaycall.h"
+
+namespace currantwalk {
+
+void RelayCall::onTargetLeaving()
+{
+    if (isSettled() || !isStream(m_request.rule))
+        return;
+    m_isTargetLeaving = true;
+    beginMove();
+}
+
+bool RelayCall::isMovable() const
+{
+    return m_state == RelayState::Answering && m_isForwarding && m_lastEvent && m_pendingMove == 0
+           && m_resumeExchange == 0 && m_moves < MaxMoves;
+}
+
+// The copy is made while the stream continues. A stream without an event has not started to run, so
+// it is moved after its first event.
+void RelayCall::beginMove()
+{
+    if (!isMovable())
+        return;
+    const std::optional<TargetId> destination =
+            m_hooks.chooseMoveTarget(m_target, m_triedDestinations);
+    if (!destination) {
+        m_isTargetLeaving = false;
+        return;
+    }
+    m_pendingMove = ++m_lastExchange;
+    ++m_moves;
+    m_triedDestinations.push_back(*destination);
+    m_hooks.requestCopy(m_pendingMove, m_target, *destination);
+}
+
+void RelayCall::onCopyResult(std::uint64_t move, const absl::StatusOr<StreamCopy> &copy)
+{
+    if (move != m_pendingMove || isSettled()) {
+        if (copy.ok())
+            m_hooks.freeCopy(m_target, *copy);
+        return;
+    }
+    m_pendingMove = 0;
+    if (copy.ok()) {
+        resumeFrom(*copy);
+        return;
+    }
+    if (m_isSourceLost)
+        onUnusableAnswer(m_sourceFailure);
+    else
+        beginMove();
+}
+
+// The events of the old target are buffered until the new target has resumed the stream. If that
+// fails, the stream continues at the old target.
+void RelayCall::resumeFrom(const StreamCopy &copy)
+{
+    m_copy = copy;
+    m_resumeExchange = ++m_lastExchange;
+    ++m_sends;
+    m_resumeTimer = m_timers.scheduleAfter(ResumeTimeout, [this] {
+        m_resumeTimer = NoTimer;
+        if (!m_isSourceLost)
+            onResumeFailed(
+                    makeError(ErrorCode::DeadlineExceeded, "the stream did not resume in time"));
+    });
+    m_nextBackup = m_hooks.chooseBackupTarget(copy.holder);
+    m_hooks.send({m_resumeExchange, copy.holder, StreamResume{copy, *m_lastEvent}, m_nextBackup});
+}
+
+// Called when the target failed without prior notice. A copy in progress is given up, because only
+// the failed target could report its completion.
+bool RelayCall::resumeFromBackup(const absl::Status &reason)
+{
+    const std::optional<TargetId> holder = std::exchange(m_backup, std::nullopt);
+    if (!holder || !m_isForwarding || !m_lastEvent)
+        return false;
+    const std::optional<StreamCopy> copy = m_hooks.findBackup(*holder);
+    if (!copy)
+        return false;
+    m_pendingMove = 0;
+    onSourceLost(reason);
+    resumeFrom(*copy);
+    return true;
+}
+
+// Another run of the request generates the same events, so it can take the place of the lost one.
+// The target processes the prompt again, which takes longer than going on from a copy.
+bool RelayCall::resumeWithoutCopy(const absl::Status &reason)
+{
+    if (m_request.rule != RetrySemantics::ResumableStream || !m_lastEvent || !mayRunAgain()
+        || m_unexecutedSends >= MaxUnexecutedSends)
+        return false;
+    const std::optional<TargetId> target = m_hooks.chooseTarget(m_excluded);
+    if (!target || !m_hooks.takeRetry())
+        return false;
+    m_pendingMove = 0;
+    onSourceLost(reason);
+    m_target = *target;
+    m_resumeExchange = ++m_lastExchange;
+    ++m_sends;
+    ++m_possibleRuns;
+    m_nextBackup = m_hooks.chooseBackupTarget(m_target);
+    m_hooks.send(
+            {m_resumeExchange, m_target, StreamResume{std::nullopt, *m_lastEvent}, m_nextBackup});
+    return true;
+}
+
+// A run that goes on from a copy is not counted as another one.
+void RelayCall::onResumeNotRun()
+{
+    ++m_unexecutedSends;
+    if (!m_copy)
+        --m_possibleRuns;
+}
+
+void RelayCall::onResumeHead(const RelayAnswerHead &head)
+{
+    if (head.isMismatched || !isSuccessStatus(head.status) || !head.isSigned) {
+        if (!head.isMismatched && (head.isNotRun || head.isTargetReplaced))
+            onResumeNotRun();
+        onResumeFailed(
+                makeError(ErrorCode::TargetRefused, "the target refused to resume the stream"));
+        return;
+    }
+    m_timers.cancel(std::exchange(m_resumeTimer, NoTimer));
+    if (m_exchange != 0)
+        m_hooks.abandon(m_exchange);
+    m_exchange = std::exchange(m_resumeExchange, 0);
+    if (m_copy)
+        m_target = m_copy->holder;
+    m_backup = std::exchange(m_nextBackup, std::nullopt);
+    m_isFirstEventAfterResume = true;
+    m_copy.reset();
+    m_bufferedEvents.clear();
+    m_events.reset();
+    m_triedDestinations.clear();
+    m_moves = 0;
+    m_isTargetLeaving = false;
+    m_isSourceLost = false;
+}
+
+void RelayCall::onResumeFailed(const absl::Status &status)
+{
+    cancelResume();
+    freeUnusedCopy();
+    if (m_isSourceLost) {
+        onUnusableAnswer(m_sourceFailure.ok() ? status : m_sourceFailure);
+        return;
+    }
+    for (const RawEvent &event : std::exchange(m_bufferedEvents, {}))
+        forwardEvent(event);
+    beginMove();
+}
+
+void RelayCall::onSourceLost(const absl::Status &status)
+{
+    m_isSourceLost = true;
+    m_sourceFailure = status;
+    if (m_exchange != 0)
+        m_hooks.abandon(std::exchange(m_exchange, 0));
+    m_events.reset();
+}
+
+void RelayCall::cancelResume()
+{
+    m_timers.cancel(std::exchange(m_resumeTimer, NoTimer));
+    if (m_resumeExchange != 0)
+        m_hooks.abandon(std::exchange(m_resumeExchange, 0));
+}
+
+void RelayCall::freeUnusedCopy()
+{
+    const std::optional<StreamCopy> copy = std::exchange(m_copy, std::nullopt);
+    if (copy && !copy->isBackup)
+        m_hooks.freeCopy(m_target, *copy);
+}
+
+} // namespace currantwalk
--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -1,10 +1,8 @@
 #include "daemon/relaysession.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "daemon/requestfingerprint.h"
-#include "observe/logging.h"
 
 namespace currantwalk {
 
@@ -27,11 +25,6 @@
     return second <= Duration::zero() ? first : std::min(first, second);
 }
 
-static std::string millisecondText(Duration duration)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 RelaySession::RelaySession(RelayServices &services, std::shared_ptr<HttpExchange> exchange,
                            CallerRequest caller, AdmittedRequest admitted, std::string service,
                            std::uint64_t fingerprint, Done done)
@@ -534,74 +527,6 @@
     logOutcome(outcomeName(failure.outcome), std::string(failure.status.message()));
 }
 
-void RelaySession::logSend(const ServiceTarget &target, const RelaySend &order) const
-{
-    const double load = m_services.placer.weightedLoad(target.id, m_services.timers.now());
-    std::string line = m_call->sends() > 1 ? "Sent again to " : "Sent to ";
-    line += target.id.text() + " in " + target.entry.zone.text();
-    line += " phase=" + std::string(targetPhaseName(target.phase));
-    line += " load=" + std::to_string(std::lround(load));
-    line += " sends=" + std::to_string(m_call->sends());
-    line += " catalog=" + std::to_string(m_admitted.catalog->version());
-    line += " catalog_age_ms=" + millisecondText(m_services.catalog.age().value_or(Duration(0)));
-    if (order.backup)
-        line += " copied_to=" + order.backup->text();
-    if (order.resume)
-        line += " behind event " + std::to_string(order.resume->lastEvent)
-                + (order.resume->copy ? " from copy " + order.resume->copy->handle
-                                      : std::string(" without a copy"));
-    logRequest(LogPart::Routing, LogLevel::Info, m_caller.id.text(), line);
-}
-
-void RelaySession::logFailedSend(const TargetId &target, const absl::Status &status,
-                                 bool wasSent) const
-{
-    logRequest(LogPart::Calls, LogLevel::Info, m_caller.id.text(),
-               "Send to " + target.text() + " failed: " + std::string(status.message())
-                       + (wasSent ? "; it may have run." : "; nothing was written.")
-                       + " fingerprint=" + fingerprintText(m_fingerprint)
-                       + " parts=" + promptPartsText(m_caller.sharedPromptParts));
-}
-
-void RelaySession::countOutcome(std::string_view outcome) const
-{
-    const std::string rule(retrySemanticsName(m_admitted.route->rule));
-    m_services.metrics.count("currantwalk_requests_total",
-                             {{"rule", rule}, {"outcome", std::string(outcome)}});
-    if (m_firstPartAt)
-        m_services.metrics.observe("currantwalk_first_part_seconds", {{"rule", rule}},
-                                   *m_firstPartAt - m_arrivedAt);
-    m_services.metrics.observe("currantwalk_request_seconds", {{"rule", rule}},
-                               m_services.timers.now() - m_arrivedAt);
-}
-
-void RelaySession::logOutcome(std::string_view outcome, std::string_view reason) const
-{
-    countOutcome(outcome);
-
-    std::string line = "Request ended: " + std::string(outcome);
-    line += " rule=" + std::string(retrySemanticsName(m_admitted.route->rule));
-    line += " target=" + m_call->target().text();
-    line += " sends=" + std::to_string(m_call->sends());
-    line += " ms=" + millisecondText(m_services.timers.now() - m_arrivedAt);
-    if (m_firstPartAt)
-        line += " first_ms=" + millisecondText(*m_firstPartAt - m_arrivedAt)
-                + " gap_ms=" + millisecondText(m_longestGap);
-    if (m_status != 0)
-        line += " status=" + std::to_string(m_status);
-    if (isLate())
-        line += " late";
-    line += " catalog=" + std::to_string(m_admitted.catalog->version());
-    line += " catalog_age_ms=" + millisecondText(m_services.catalog.age().value_or(Duration(0)));
-    if (!reason.empty())
-        line += " reason=\"" + std::string(reason) + '"';
-    // What has a line for its send and none for its end was in progress when its node was killed.
-    const bool isOrdinary = outcome == "done" && m_status < 400 && !isLate() && m_call->sends() == 1
-                            && !isStream(m_admitted.route->rule);
-    const LogLevel level = isOrdinary ? LogLevel::Debug : LogLevel::Info;
-    logRequest(LogPart::Calls, level, m_caller.id.text(), line);
-}
-
 void RelaySession::finishIfSettled()
 {
     if (m_isDone || !m_call->isSettled())
--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -152,6 +152,15 @@
     m_nodes[index].loop.reset();
 }
 
+void EntryFleet::restartAllNodes(Duration outage)
+{
+    for (std::size_t i = 0; i < m_nodes.size(); ++i)
+        killNode(i);
+    run(outage);
+    for (std::size_t i = 0; i < m_nodes.size(); ++i)
+        startNode(i);
+}
+
 void EntryFleet::pauseNode(std::size_t index)
 {
     m_nodes[index].loop->nodeTimers().pause();
--- a/src/daemon/tests/entryfleet.h
+++ b/src/daemon/tests/entryfleet.h
@@ -86,6 +86,8 @@
     void run(Duration span) { timers.advance(span); }
     void startNode(std::size_t index);
     void killNode(std::size_t index);
+    /// Kills all nodes at once and starts them again after \a outage.
+    void restartAllNodes(Duration outage);
     /// Suspends a node: its timers and messages wait until it is resumed.
     void pauseNode(std::size_t index);
     void resumeNode(std::size_t index);
--- a/src/daemon/tests/leftruntest.cpp
+++ b/src/daemon/tests/leftruntest.cpp
@@ -65,6 +65,16 @@
         CHECK(fleet->longestOverlap() <= MaxOverlap);
     }
 
+    /// Starts streams whose connections, but not their runs, then end at four servers.
+    void checkStoppedAfterResets(const std::string &path)
+    {
+        startStreams(path);
+        for (std::size_t i = 0; i < 4; ++i)
+            fleet->servers[i]->resetConnections();
+        checkAllServed();
+        checkOverlaps();
+    }
+
     void leaveThird()
     {
         for (std::size_t i = 0; i < fleet->servers.size(); i += 3) {
@@ -107,15 +117,10 @@
     CHECK(20 * late <= all);
 }
 
-// Only the connections are lost; the servers, and the runs, go on.
 TEST(LeftRuns, streamsResumedFromBackupsAfterAResetAreStoppedAtTheServerBefore)
 {
     build(7);
-    startStreams("/stream/x");
-    for (std::size_t i = 0; i < 4; ++i)
-        fleet->servers[i]->resetConnections();
-    checkAllServed();
-    checkOverlaps();
+    checkStoppedAfterResets("/stream/x");
 }
 
 TEST(LeftRuns, streamsResumedWithoutACopyAreStoppedAtTheServerBefore)
@@ -124,11 +129,7 @@
     forEachEngine([](SimServer::Options &server) { server.keepsCopies = false; });
     // A node that has just started spends none of the slack of the retry budget.
     fleet->run(12s);
-    startStreams("/resumable/x");
-    for (std::size_t i = 0; i < 4; ++i)
-        fleet->servers[i]->resetConnections();
-    checkAllServed();
-    checkOverlaps();
+    checkStoppedAfterResets("/resumable/x");
 }
 
 TEST(LeftRuns, streamsThatMoveTwiceAreStoppedAtBothServers)
--- a/src/daemon/tests/poisonfleettest.cpp
+++ b/src/daemon/tests/poisonfleettest.cpp
@@ -94,11 +94,7 @@
     fleet->repeatPoison("/stream/p", 300ms, 30s);
     fleet->run(10s);
     for (const int round : {1, 2, 3}) {
-        for (std::size_t i = 0; i < 7; ++i)
-            fleet->killNode(i);
-        fleet->run(500ms);
-        for (std::size_t i = 0; i < 7; ++i)
-            fleet->startNode(i);
+        fleet->restartAllNodes(500ms);
         fleet->run(round * 1s);
     }
     fleet->run(40s);
@@ -119,11 +115,7 @@
         build();
         fleet->repeatPoison(path, 300ms, 12s);
         fleet->run(8s);
-        for (std::size_t i = 0; i < 7; ++i)
-            fleet->killNode(i);
-        fleet->run(500ms);
-        for (std::size_t i = 0; i < 7; ++i)
-            fleet->startNode(i);
+        fleet->restartAllNodes(500ms);
         fleet->run(20s);
         checkContained(path);
     }
--- a/src/daemon/tests/promptpartfleettest.cpp
+++ b/src/daemon/tests/promptpartfleettest.cpp
@@ -194,11 +194,7 @@
     fleet->run(25s);
     const std::size_t crashes = load.judge().crashes;
     CHECK(crashes >= 3);
-    for (std::size_t i = 0; i < 7; ++i)
-        fleet->killNode(i);
-    fleet->run(500ms);
-    for (std::size_t i = 0; i < 7; ++i)
-        fleet->startNode(i);
+    fleet->restartAllNodes(500ms);
     fleet->run(40s);
     CHECK_EQUAL(crashes, load.judge().crashes);
     checkBounds(load);
--- a/src/daemon/tests/storerestoretest.cpp
+++ b/src/daemon/tests/storerestoretest.cpp
@@ -72,15 +72,6 @@
         return nodes;
     }
 
-    void restartAll()
-    {
-        for (std::size_t i = 0; i < fleet->nodeCount(); ++i)
-            fleet->killNode(i);
-        fleet->run(200ms);
-        for (std::size_t i = 0; i < fleet->nodeCount(); ++i)
-            fleet->startNode(i);
-    }
-
     std::uint32_t servedIn(Duration span)
     {
         const std::uint32_t before = fleet->innocents.served;
@@ -142,7 +133,7 @@
     const TimePoint revokedAt = fleet->timers.now();
     fleet->run(3s);
     restore(4s);
-    restartAll();
+    fleet->restartAllNodes(200ms);
     fleet->startInnocents(100ms, 15s);
     fleet->run(1800ms);
     fleet->publish(2, false);
@@ -155,7 +146,7 @@
     build();
     restore(1s);
     fleet->run(6s);
-    restartAll();
+    fleet->restartAllNodes(200ms);
     fleet->run(500ms);
     for (std::size_t i = 0; i < 7; ++i)
         CHECK(fleet->node(i).isReady());
@@ -248,7 +239,7 @@
     fleet->run(5s);
     restore(6s);
     fleet->run(4s);
-    restartAll();
+    fleet->restartAllNodes(200ms);
     fleet->run(30s);
     CHECK_TEXT(fleet->crashesBy("/stream/p") <= 3,
                std::to_string(fleet->crashesBy("/stream/p")).c_str());
--- a/src/log/keyedtopicmirror.cpp
+++ b/src/log/keyedtopicmirror.cpp
@@ -14,8 +14,9 @@
         dropOldestTombstone();
 }
 
-// The scan that found the key missing does not tell the offset of its tombstone. Readers that have
-// this position now got it without the tombstone.
+// The scan that found the key missing does not tell the offset of its tombstone. Readers behind the
+// current position have to scan at once. One that is at it may have been answered before the
+// removal, and has to scan when the position advances.
 void KeyedTopicMirror::remove(const std::string &key)
 {
     if (m_offsets.find(key) == m_offsets.end())
