Parts that crash one server in ten: compare them with the other requests

What callers saw (played): requests with a part that crashes one server in five, or fewer, reached servers 33 to 37 times after the fifth crash and 3 s, 3 allowed; each crash ended the answers of all others there. Cause: a part was blamed only with at most 4 answers for each crash, and a part that crashes one server in five has that many by itself. Change: CrashEvidence tests how likely chance brings requests with a part to as many crashes, given their share of all requests (Poisson binomial tail, Bonferroni with Tarone's count of tests, error rate 0.001). The share is the greater of that of the answers of 5 to 10 minutes and that of the time waited in the last 30 to 60 s, as requests that wait for long are at more servers that end. New: RarePromptParts, RarePromptPartsAtNinetyNodes, six tests of CrashEvidence; among these one in which servers end by chance (3,000 sets of 12), one of parts that wait for long, one of a burst.

--- a/src/blame/crashevidence.cpp
+++ b/src/blame/crashevidence.cpp
@@ -1,6 +1,7 @@
 #include "blame/crashevidence.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <map>
 #include <numeric>
@@ -14,6 +15,8 @@
 static constexpr Duration SimultaneousPeriod = std::chrono::milliseconds(300);
 // Answers of the last one to two periods count.
 static constexpr Duration CountPeriod = std::chrono::minutes(5);
+// Shorter, as requests with a feature may come all at once.
+static constexpr Duration WaitPeriod = std::chrono::seconds(30);
 // Limit memory and the work of finding an explanation.
 static constexpr std::size_t MaxCrashes = 64;
 static constexpr std::size_t MaxWitnessesPerCrash = 64;
@@ -109,55 +112,98 @@
     removeCrashes([now](const TargetCrash &crash) { return now - crash.at >= Lifetime; });
 }
 
-void CrashEvidence::rotateCounts(TimePoint now)
+template<typename Sum>
+void CrashEvidence::Sums<Sum>::rotate(Duration period, TimePoint now)
 {
-    if (now - m_rotatedAt < CountPeriod)
+    if (now - rotatedAt < period)
         return;
-    const bool isOutdated = now - m_rotatedAt >= 2 * CountPeriod;
-    m_previous = isOutdated ? Counts{} : std::move(m_current);
-    m_current = Counts{};
-    m_rotatedAt = now;
+    const bool isOutdated = now - rotatedAt >= 2 * period;
+    hereBefore = isOutdated ? decltype(here){} : std::move(here);
+    ofAllBefore = isOutdated ? decltype(ofAll){} : std::move(ofAll);
+    here.clear();
+    ofAll.clear();
+    rotatedAt = now;
+}
+
+template<typename Sum>
+void CrashEvidence::Sums<Sum>::add(std::uint64_t feature, Sum sum)
+{
+    const auto known = here.find(feature);
+    if (known != here.end())
+        known->second += sum;
+    else if (here.size() < MaxCountedFeatures)
+        here.emplace(feature, sum);
+}
+
+template<typename Sum>
+static Sum valueOf(const std::unordered_map<std::uint64_t, Sum> &sums, std::uint64_t feature)
+{
+    const auto known = sums.find(feature);
+    return known == sums.end() ? Sum{} : known->second;
+}
+
+template<typename Sum>
+Sum CrashEvidence::Sums<Sum>::sumHere(std::uint64_t feature) const
+{
+    return valueOf(here, feature) + valueOf(hereBefore, feature);
 }
 
-void CrashEvidence::addAnswer(const std::vector<RequestFeature> &features, TimePoint now)
+template<typename Sum>
+Sum CrashEvidence::Sums<Sum>::sum(std::uint64_t feature) const
 {
+    return std::max({sumHere(feature), valueOf(ofAll, feature), valueOf(ofAllBefore, feature)});
+}
+
+void CrashEvidence::rotateCounts(TimePoint now)
+{
+    m_counts.rotate(CountPeriod, now);
+    m_waits.rotate(WaitPeriod, now);
+}
+
+void CrashEvidence::addAnswer(const std::vector<RequestFeature> &features, Duration waited,
+                              TimePoint now)
+{
+    if (features.empty())
+        return;
     rotateCounts(now);
+    m_counts.add(AllRequests, 1);
+    m_waits.add(AllRequests, waited);
     for (const RequestFeature &feature : features) {
-        const bool isKnown = m_current.here.contains(feature.fingerprint);
-        if (isKnown || m_current.here.size() < MaxCountedFeatures)
-            ++m_current.here[feature.fingerprint];
+        m_counts.add(feature.fingerprint, 1);
+        m_waits.add(feature.fingerprint, waited);
     }
 }
 
-void CrashEvidence::setAnswersOfAll(std::uint64_t feature, std::uint64_t answers, TimePoint now)
+void CrashEvidence::setAnswersOfAll(std::uint64_t feature, const Answers &answers, TimePoint now)
 {
     rotateCounts(now);
-    if (m_current.ofAll.size() < MaxCountedFeatures)
-        m_current.ofAll[feature] = answers;
+    if (m_counts.ofAll.size() < MaxCountedFeatures)
+        m_counts.ofAll[feature] = answers.count;
+    if (m_waits.ofAll.size() < MaxCountedFeatures)
+        m_waits.ofAll[feature] = answers.waited;
 }
 
-std::uint64_t CrashEvidence::answersHere(std::uint64_t feature, TimePoint now)
+CrashEvidence::Answers CrashEvidence::answersHere(std::uint64_t feature, TimePoint now)
 {
     rotateCounts(now);
-    std::uint64_t sum = 0;
-    for (const Counts *counts : {&m_current, &m_previous}) {
-        const auto count = counts->here.find(feature);
-        sum += count == counts->here.end() ? 0 : count->second;
-    }
-    return sum;
+    return {m_counts.sumHere(feature), m_waits.sumHere(feature)};
 }
 
-std::uint64_t CrashEvidence::answers(std::uint64_t feature) const
+// The part of the requests at a target, not yet answered, that is expected to have the feature.
+// Requests that wait for long are at the target more often than their number tells.
+double CrashEvidence::shareOfRequests(std::uint64_t feature) const
 {
-    std::uint64_t here = 0;
-    std::uint64_t ofAll = 0;
-    for (const Counts *counts : {&m_current, &m_previous}) {
-        const auto own = counts->here.find(feature);
-        here += own == counts->here.end() ? 0 : own->second;
-        const auto told = counts->ofAll.find(feature);
-        ofAll = std::max(ofAll, told == counts->ofAll.end() ? 0 : told->second);
-    }
-    return std::max(here, ofAll);
+    const std::uint64_t answers = m_counts.sum(AllRequests);
+    if (answers == 0)
+        return 1;
+    const double ofAnswers =
+            static_cast<double>(m_counts.sum(feature)) / static_cast<double>(answers);
+    const Duration waited = m_waits.sum(AllRequests);
+    const double ofWaiting = waited > Duration::zero()
+                                     ? std::chrono::duration<double>(m_waits.sum(feature))
+                                               / std::chrono::duration<double>(waited)
+                                     : 0;
+    return std::min(1.0, std::max(ofAnswers, ofWaiting));
 }
 
 CrashEvidence::Candidates CrashEvidence::candidates(const std::vector<const Crash *> &crashes) const
@@ -193,6 +239,63 @@
     return candidates;
 }
 
+// Returns the probability that at least \a least of independent events happen.
+static double probabilityOfAtLeast(std::size_t least, const std::vector<double> &probabilities)
+{
+    // Of each number of events, those from least on together.
+    std::vector<double> ofNumber(least + 1);
+    ofNumber[0] = 1;
+    for (const double probability : probabilities) {
+        ofNumber[least] += ofNumber[least - 1] * probability;
+        for (std::size_t number = least - 1; number > 0; --number)
+            ofNumber[number] =
+                    ofNumber[number] * (1 - probability) + ofNumber[number - 1] * probability;
+        ofNumber[0] *= 1 - probability;
+    }
+    return ofNumber[least];
+}
+
+// Tests for each feature whether its requests were at crashes independently of them. The error rate
+// is divided by the number of tests (Bonferroni). Features of too few requests to be blamed do not
+// count as tested (R. E. Tarone, A modified Bonferroni method for discrete data, 1990).
+const CrashEvidence::Candidate *
+CrashEvidence::mostSignificant(const Candidates &candidates,
+                               const std::vector<const Crash *> &crashes) const
+{
+    std::vector<TimePoint> times;
+    for (const Crash *crash : crashes)
+        times.push_back(crash->crash.at);
+    const auto [events, sizes] = groupByTime(times);
+    std::vector<std::size_t> witnesses(sizes.size());
+    for (std::size_t number = 0; number < crashes.size(); ++number)
+        witnesses[events[number]] += crashes[number]->witnesses.size();
+    const auto tested =
+            std::count_if(candidates.begin(), candidates.end(), [this](const auto &each) {
+                const Candidate &candidate = each.second;
+                return candidate.feature
+                       && m_counts.sum(each.first) + candidate.requests.size() >= MinEvents;
+            });
+    const Candidate *best = nullptr;
+    std::tuple<double, std::size_t, std::uint64_t> bestCost;
+    for (const auto &[fingerprint, candidate] : candidates) {
+        const std::size_t explained = candidate.events();
+        if (!candidate.feature || explained < MinEvents)
+            continue;
+        const double share = shareOfRequests(fingerprint);
+        std::vector<double> probabilities;
+        for (const std::size_t count : witnesses)
+            probabilities.push_back(1 - std::pow(1 - share, static_cast<double>(count)));
+        const double error = probabilityOfAtLeast(explained, probabilities);
+        const std::tuple<double, std::size_t, std::uint64_t> cost{
+                error, WholeRequestRank - candidate.rank, fingerprint};
+        if (error * static_cast<double>(tested) > MaxErrorRate || (best && cost >= bestCost))
+            continue;
+        best = &candidate;
+        bestCost = cost;
+    }
+    return best;
+}
+
 // Returns the candidate with the fewest answers for each event; of equal ones the narrowest.
 const CrashEvidence::Candidate *CrashEvidence::best(const Candidates &candidates) const
 {
@@ -204,8 +307,8 @@
         const std::size_t events = candidate.events();
         if (events < MinCandidateEvents)
             continue;
-        const double begun =
-                candidate.feature ? static_cast<double>(answers(fingerprint)) : WholeRequestBias;
+        const double begun = candidate.feature ? static_cast<double>(m_counts.sum(fingerprint))
+                                               : WholeRequestBias;
         const std::tuple<double, std::size_t, std::uint64_t> cost{
                 (begun + AnswersBias) / static_cast<double>(events),
                 WholeRequestRank - candidate.rank, fingerprint};
@@ -217,6 +320,14 @@
     return best;
 }
 
+bool CrashEvidence::hasFewAnswers(const Candidate &candidate) const
+{
+    const std::size_t events = candidate.events();
+    return candidate.feature && events >= MinEvents
+           && static_cast<double>(m_counts.sum(candidate.fingerprint))
+                      <= MaxAnswersPerEvent * static_cast<double>(events);
+}
+
 std::vector<CrashEvidence::Verdict> CrashEvidence::verdicts(TimePoint now)
 {
     rotateCounts(now);
@@ -227,17 +338,14 @@
     std::vector<Verdict> verdicts;
     for (std::size_t i = 0; i < MaxExplanations; ++i) {
         const Candidates all = candidates(unexplained);
-        const Candidate *const chosen = best(all);
+        const Candidate *const significant = mostSignificant(all, unexplained);
+        const Candidate *const chosen = significant ? significant : best(all);
         if (!chosen)
             break;
-        const std::size_t events = chosen->events();
-        const bool isBlamed = chosen->feature && events >= MinEvents
-                              && static_cast<double>(answers(chosen->fingerprint))
-                                         <= MaxAnswersPerEvent * static_cast<double>(events);
-        if (isBlamed) {
+        if (significant || hasFewAnswers(*chosen)) {
             Verdict &verdict = verdicts.emplace_back();
             verdict.feature = *chosen->feature;
-            verdict.events = events;
+            verdict.events = chosen->events();
             for (const Crash *crash : chosen->crashes)
                 verdict.crashes.push_back(crash->crash);
         }
--- a/src/blame/crashevidence.h
+++ b/src/blame/crashevidence.h
@@ -32,8 +32,9 @@
 /// Finds the features of requests that explain the crashes of targets.
 ///
 /// A crash may be due to any request that the target had not begun to answer. The features blamed
-/// are those which explain the crashes with the fewest answers begun beside them: a crash that one
-/// feature explains does not count against another.
+/// are first those whose requests were at more crashes than chance gives, and then those which
+/// explain the crashes with the fewest answers begun beside them: a crash that one feature explains
+/// does not count against another.
 class CrashEvidence
 {
 public:
@@ -41,10 +42,22 @@
     static constexpr std::size_t MinEvents = 3;
     /// The same, where too few nodes have told how many requests they have answered.
     static constexpr std::size_t MinEventsUncounted = 5;
-    /// More answers for each event show that the feature does not crash targets.
+    /// With more answers for each event, only a comparison with the other requests can blame the
+    /// feature.
     static constexpr double MaxAnswersPerEvent = 4;
+    /// Probability that chance alone makes the comparison blame a feature.
+    static constexpr double MaxErrorRate = 0.001;
+    /// In place of a feature: all requests that have any.
+    static constexpr std::uint64_t AllRequests = 0;
     static constexpr Duration Lifetime = std::chrono::minutes(10);
 
+    /// Requests that were answered.
+    struct Answers
+    {
+        std::uint64_t count = 0; ///< In the last 5 to 10 minutes.
+        Duration waited{0};      ///< By those of the last 30 to 60 s, until their answers began.
+    };
+
     struct Verdict
     {
         RequestFeature feature;
@@ -58,12 +71,12 @@
                     const std::vector<RequestFeature> &features);
     /// Removes the crashes for which \a isRefuted returns true.
     void removeCrashes(const std::function<bool(const TargetCrash &)> &isRefuted);
-    /// Counts a request that was answered.
-    void addAnswer(const std::vector<RequestFeature> &features, TimePoint now);
-    /// Sets how many requests with a feature all nodes are believed to have answered.
-    void setAnswersOfAll(std::uint64_t feature, std::uint64_t answers, TimePoint now);
-    /// Returns the number of answers counted here lately.
-    std::uint64_t answersHere(std::uint64_t feature, TimePoint now);
+    /// Counts a request that was answered after it had been at its target for \a waited.
+    void addAnswer(const std::vector<RequestFeature> &features, Duration waited, TimePoint now);
+    /// Sets what all nodes are believed to have answered of a feature or of AllRequests.
+    void setAnswersOfAll(std::uint64_t feature, const Answers &answers, TimePoint now);
+    /// Returns what was answered here of a feature or of AllRequests.
+    Answers answersHere(std::uint64_t feature, TimePoint now);
     /// Returns the features that are to blame.
     std::vector<Verdict> verdicts(TimePoint now);
 
@@ -80,10 +93,21 @@
         std::vector<Witness> witnesses;
     };
 
-    struct Counts
+    /// Sums by feature, of one period and the one before.
+    template<typename Sum>
+    struct Sums
     {
-        std::unordered_map<std::uint64_t, std::uint64_t> here;
-        std::unordered_map<std::uint64_t, std::uint64_t> ofAll;
+        std::unordered_map<std::uint64_t, Sum> here;
+        std::unordered_map<std::uint64_t, Sum> ofAll;
+        std::unordered_map<std::uint64_t, Sum> hereBefore;
+        std::unordered_map<std::uint64_t, Sum> ofAllBefore;
+        TimePoint rotatedAt{};
+
+        void rotate(Duration period, TimePoint now);
+        void add(std::uint64_t feature, Sum sum);
+        Sum sumHere(std::uint64_t feature) const;
+        /// Returns the sum of all nodes, or this node's, if it is greater.
+        Sum sum(std::uint64_t feature) const;
     };
 
     struct Candidate;
@@ -91,14 +115,16 @@
 
     void rotateCounts(TimePoint now);
     void removeExpired(TimePoint now);
-    std::uint64_t answers(std::uint64_t feature) const;
+    double shareOfRequests(std::uint64_t feature) const;
     Candidates candidates(const std::vector<const Crash *> &crashes) const;
+    const Candidate *mostSignificant(const Candidates &candidates,
+                                     const std::vector<const Crash *> &crashes) const;
     const Candidate *best(const Candidates &candidates) const;
+    bool hasFewAnswers(const Candidate &candidate) const;
 
     std::list<Crash> m_crashes; ///< The latest one last.
-    Counts m_current;
-    Counts m_previous;
-    TimePoint m_rotatedAt{};
+    Sums<std::uint64_t> m_counts;
+    Sums<Duration> m_waits;
 };
 
 } // namespace currantwalk
--- a/src/blame/featureverdicts.cpp
+++ b/src/blame/featureverdicts.cpp
@@ -30,10 +30,10 @@
 void PoisonTable::countAnswer(Run &run)
 {
     if (!std::exchange(run.isAnswerCounted, true))
-        m_evidence.addAnswer(run.features, m_timers.now());
+        m_evidence.addAnswer(run.features, m_timers.now() - run.startedAt, m_timers.now());
 }
 
-std::uint64_t PoisonTable::answersHere(std::uint64_t feature)
+CrashEvidence::Answers PoisonTable::answersHere(std::uint64_t feature)
 {
     return m_evidence.answersHere(feature, m_timers.now());
 }
@@ -101,6 +101,7 @@
         m_answerCounts.clear();
     for (const std::uint64_t feature : uncounted)
         m_answerCounts[feature] = {};
+    uncounted.insert(uncounted.begin(), CrashEvidence::AllRequests);
     m_hooks.countAnswers(uncounted);
 }
 
--- a/src/blame/poisontable.h
+++ b/src/blame/poisontable.h
@@ -82,7 +82,7 @@
                     std::string subject) override;
     void setFeatures(std::uint64_t fingerprint, const TargetId &target,
                      std::vector<RequestFeature> features) override;
-    std::uint64_t answersHere(std::uint64_t feature) override;
+    CrashEvidence::Answers answersHere(std::uint64_t feature) override;
     Duration countingTime() const override { return m_timers.now() - m_createdAt; }
     void onAnswersOfAll(const std::vector<FeatureAnswers> &answers, bool isKnown) override;
     void onAbandoned(std::uint64_t fingerprint, const TargetId &target) override;
--- a/src/blame/poisontracker.h
+++ b/src/blame/poisontracker.h
@@ -90,11 +90,11 @@
         bool isOfFeature = false;
     };
 
-    /// Answers that other nodes have begun to requests with a feature.
+    /// What nodes have answered of the requests with a feature, or of CrashEvidence::AllRequests.
     struct FeatureAnswers
     {
         std::uint64_t feature = 0;
-        std::uint64_t answers = 0;
+        CrashEvidence::Answers answers;
     };
 
     /// Hooks that report to other nodes.
@@ -132,8 +132,9 @@
     /// Sets what a running request has in common with others, the most common feature first.
     virtual void setFeatures(std::uint64_t fingerprint, const TargetId &target,
                              std::vector<RequestFeature> features) = 0;
-    /// Returns the number of requests with the feature that were answered here lately.
-    virtual std::uint64_t answersHere(std::uint64_t feature) = 0;
+    /// Returns what was answered here lately of the requests with the feature, or of
+    /// CrashEvidence::AllRequests.
+    virtual CrashEvidence::Answers answersHere(std::uint64_t feature) = 0;
     /// Returns for how long answers have been counted here.
     virtual Duration countingTime() const = 0;
     /// Called with how many requests with each feature all nodes have answered lately, and whether
--- a/src/blame/tests/crashevidencetest.cpp
+++ b/src/blame/tests/crashevidencetest.cpp
@@ -1,4 +1,5 @@
 #include "blame/crashevidence.h"
+#include "base/randomsource.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -44,10 +45,10 @@
         return fingerprints;
     }
 
-    void answer(std::initializer_list<std::uint64_t> request, int times)
+    void answer(std::initializer_list<std::uint64_t> request, int times, Duration wait = 100ms)
     {
         for (int i = 0; i < times; ++i)
-            evidence.addAnswer(features(request), now);
+            evidence.addAnswer(features(request), wait, now);
     }
 
     void checkBlamed(const std::vector<std::uint64_t> &expected)
@@ -101,12 +102,91 @@
     checkBlamed({Popular});
 }
 
+// A part that crashes one server in ten.
+TEST(CrashEvidence, featureAtMoreCrashesThanChanceGivesIsBlamedDespiteItsAnswers)
+{
+    answer({Popular}, 400);
+    answer({Popular, Poison}, 40);
+    for (int i = 0; i < 5; ++i)
+        crash({{Popular, Poison}, {Popular, ++lastRequest}});
+    checkBlamed({Poison});
+}
+
+TEST(CrashEvidence, featureOfAThirdOfTheRequestsIsNotBlamedForFiveOfEightCrashes)
+{
+    answer({Popular}, 1000);
+    answer({Popular, Rare}, 500);
+    for (int i = 0; i < 8; ++i) {
+        if (i < 5)
+            crash({{Popular, Rare}});
+        else
+            crash({{Popular}});
+    }
+    checkBlamed({});
+}
+
+// Requests that wait for long are at a server whenever it ends.
+TEST(CrashEvidence, featureOfFewRequestsThatWaitForLongIsNotBlamed)
+{
+    answer({Popular}, 1000, 100ms);
+    answer({Rare}, 30, 5s);
+    for (int i = 0; i < 5; ++i)
+        crash({{Popular}, {Rare}});
+    checkBlamed({});
+}
+
+// The requests with it have come within the last seconds.
+TEST(CrashEvidence, featureOfMostRequestsOfTheMomentIsNotBlamed)
+{
+    answer({Popular}, 5000);
+    now += 2min;
+    answer({Popular}, 20);
+    answer({Rare}, 40);
+    for (int i = 0; i < 5; ++i)
+        crash({{Rare}});
+    checkBlamed({});
+}
+
+TEST(CrashEvidence, featureIsNotComparedWhereNothingWasAnswered)
+{
+    evidence.setAnswersOfAll(Popular, {100, 10s}, now);
+    for (int i = 0; i < 5; ++i)
+        crash({{Popular}});
+    checkBlamed({});
+}
+
+// Servers end at random among requests whose features are as popular as in a fleet.
+TEST(CrashEvidence, chanceBlamesNoMoreFeaturesThanTheErrorRateAllows)
+{
+    constexpr std::size_t Runs = 3000;
+    constexpr std::size_t Crashes = 12;
+    RandomSource random(1);
+    std::size_t blamedRuns = 0;
+    const auto popular = [&random] {
+        return 10 + static_cast<std::uint64_t>(30 * random.uniform() * random.uniform());
+    };
+    for (std::size_t run = 0; run < Runs; ++run) {
+        evidence = CrashEvidence();
+        for (int i = 0; i < 3000; ++i)
+            answer({popular(), 100 + popular()}, 1);
+        for (std::size_t i = 0; i < Crashes; ++i) {
+            now += 1s;
+            const TargetCrash end{TargetId("t" + std::to_string(++crashes)), 1, now};
+            for (std::size_t left = 1 + random.uniformBelow(3); left > 0; --left)
+                evidence.addWitness(end, ++lastRequest, features({popular(), 100 + popular()}));
+        }
+        blamedRuns += evidence.verdicts(now).empty() ? 0 : 1;
+    }
+    CHECK(static_cast<double>(blamedRuns) <= CrashEvidence::MaxErrorRate * Runs);
+}
+
 TEST(CrashEvidence, answersOfAllNodesCount)
 {
     for (int i = 0; i < 3; ++i)
         crash({{Popular}});
     checkBlamed({Popular});
-    evidence.setAnswersOfAll(Popular, 100, now);
+    evidence.setAnswersOfAll(Popular, {100, 10s}, now);
+    evidence.setAnswersOfAll(CrashEvidence::AllRequests, {100, 10s}, now);
     checkBlamed({});
 }
 
--- a/src/daemon/answerpoll.h
+++ b/src/daemon/answerpoll.h
@@ -13,7 +13,7 @@
 
 namespace currantwalk {
 
-/// Estimates how many requests with certain features all nodes have answered, by asking some of
+/// Estimates what all nodes have answered of the requests with certain features, by asking some of
 /// them.
 class AnswerPoll
 {
@@ -34,13 +34,14 @@
     struct Poll
     {
         std::vector<std::uint64_t> features;
-        std::vector<std::uint64_t> answers; ///< Of those that replied, by feature.
-        std::size_t asked = 0;              ///< Nodes, without this one.
+        std::vector<CrashEvidence::Answers> answers; ///< Of those that replied, by feature.
+        std::size_t asked = 0;                       ///< Nodes, without this one.
         std::size_t awaited = 0;
         std::uint64_t replies = 0;
         TimerId timer = NoTimer;
     };
 
+    Json::Value answersTo(const Json::Value &message) const;
     void onReply(std::uint64_t number, const absl::StatusOr<Json::Value> &reply);
     void finish(std::uint64_t number);
 
--- a/src/daemon/tests/promptpartfleettest.cpp
+++ b/src/daemon/tests/promptpartfleettest.cpp
@@ -263,6 +263,42 @@
         STRCMP_EQUAL("", PoisonSoak(seed, 7).run().violation.c_str());
 }
 
+TEST_GROUP_BASE(RarePromptParts, PromptPartRig){};
+
+TEST(RarePromptParts, partsThatCrashOneServerInTenAreRefusedWithOtherLoads)
+{
+    for (std::uint64_t seed = 2; seed <= 4; ++seed) {
+        for (const auto place : {PromptPartLoad::Place::First, PromptPartLoad::Place::Second}) {
+            EntryFleet::Options other;
+            other.seed = seed;
+            build(7, 3, other);
+            PromptPartLoad::Options options = load(place);
+            options.crashShare = 0.1;
+            options.span = 40s;
+            play(options);
+            CHECK_EQUAL(0U, fleet->innocents.refusedAsPoisonous);
+        }
+    }
+}
+
+TEST(RarePromptParts, twoPartsThatEachCrashOneServerInFiveAreRefused)
+{
+    build(7, 3);
+    PromptPartLoad::Options options = load(PromptPartLoad::Place::Second);
+    options.crashShare = 0.2;
+    options.span = 40s;
+    PromptPartLoad first(*fleet, options);
+    options.poison = "worse";
+    options.place = PromptPartLoad::Place::First;
+    PromptPartLoad second(*fleet, options);
+    first.start();
+    second.start();
+    fleet->run(first.duration() + 20s);
+    checkBounds(first);
+    checkBounds(second);
+    CHECK_EQUAL(0U, fleet->innocents.refusedAsPoisonous);
+}
+
 TEST_GROUP_BASE(PromptPartsAtNinetyNodes, PromptPartRig){};
 
 TEST(PromptPartsAtNinetyNodes, partThatCrashesServersIsRefusedAndLookalikesServed)
@@ -277,6 +313,17 @@
     STRCMP_EQUAL("", PoisonSoak(1, 90).run().violation.c_str());
 }
 
+TEST_GROUP_BASE(RarePromptPartsAtNinetyNodes, PromptPartRig){};
+
+TEST(RarePromptPartsAtNinetyNodes, partThatCrashesOneServerInTenIsRefused)
+{
+    build(90, 4);
+    PromptPartLoad::Options options = load(PromptPartLoad::Place::Second, 3);
+    options.crashShare = 0.1;
+    play(options, 5s);
+    CHECK_EQUAL(0U, fleet->innocents.refusedAsPoisonous);
+}
+
 TEST_GROUP_BASE(PromptPartsAtThreeHundredAndThirtyNodes, PromptPartRig){};
 
 TEST(PromptPartsAtThreeHundredAndThirtyNodes, partThatCrashesServersIsRefusedAndLookalikesServed)
