Blame the feature at most crashes where none was answered

What callers would see: where a deadly part comes with another part in some of its requests, the other was blamed first, and the deadly one was refused after two crashes more. Change: on a tie the number of events decides before the rank. What a peer may state of the time waited is bounded lower, so that the sum of 16 peers carried on to a fleet does not overflow at 576 nodes and more. Evidence: CrashEvidence.featureAtMoreCrashesIsBlamedRatherThanANarrowerOne OfSomeOfThem fails before and passes now.

--- a/src/blame/crashevidence.cpp
+++ b/src/blame/crashevidence.cpp
@@ -276,7 +276,8 @@
                        && m_counts.sum(each.first) + candidate.requests.size() >= MinEvents;
             });
     const Candidate *best = nullptr;
-    std::tuple<double, std::size_t, std::uint64_t> bestCost;
+    // Features without any answer differ in the number of their events only.
+    std::tuple<double, std::size_t, std::size_t, std::uint64_t> bestCost;
     for (const auto &[fingerprint, candidate] : candidates) {
         const std::size_t explained = candidate.events();
         if (!candidate.feature || explained < MinEvents)
@@ -286,8 +287,9 @@
         for (const std::size_t count : witnesses)
             probabilities.push_back(1 - std::pow(1 - share, static_cast<double>(count)));
         const double error = probabilityOfAtLeast(explained, probabilities);
-        const std::tuple<double, std::size_t, std::uint64_t> cost{
-                error, WholeRequestRank - candidate.rank, fingerprint};
+        const std::tuple<double, std::size_t, std::size_t, std::uint64_t> cost{
+                error, witnesses.size() - explained, WholeRequestRank - candidate.rank,
+                fingerprint};
         if (error * static_cast<double>(tested) > MaxErrorRate || (best && cost >= bestCost))
             continue;
         best = &candidate;
--- a/src/blame/tests/crashevidencetest.cpp
+++ b/src/blame/tests/crashevidencetest.cpp
@@ -74,6 +74,16 @@
     checkBlamed({Poison});
 }
 
+TEST(CrashEvidence, featureAtMoreCrashesIsBlamedRatherThanANarrowerOneOfSomeOfThem)
+{
+    answer({Popular}, 100);
+    for (int i = 0; i < 3; ++i)
+        crash({{Poison, Rare}});
+    for (const std::uint64_t second : {11, 12})
+        crash({{Poison, second}});
+    checkBlamed({Poison});
+}
+
 TEST(CrashEvidence, narrowerFeatureIsBlamedWhereNothingElseTellsThemApart)
 {
     for (int i = 0; i < 3; ++i)
--- a/src/daemon/answerpoll.cpp
+++ b/src/daemon/answerpoll.cpp
@@ -11,7 +11,7 @@
 static constexpr std::size_t MaxAsked = 16;
 // Bounds what a peer may state, so that sums do not overflow.
 static constexpr std::uint64_t MaxCount = 1'000'000'000;
-static constexpr std::uint64_t MaxWaitedMilliseconds = 1'000'000'000;
+static constexpr std::uint64_t MaxWaitedMilliseconds = 100'000'000;
 // Of the question and its answer.
 static constexpr const char *FeaturesField = "features";
 static constexpr const char *DoesWantWaitsField = "waits";
