Tests: two loads with deadly parts at once are played in one place

Two tests of PromptParts and RarePromptParts had the same lines. They are PromptPartRig::playTwoParts() now; the checks are the same.

--- a/src/daemon/tests/promptpartfleettest.cpp
+++ b/src/daemon/tests/promptpartfleettest.cpp
@@ -58,6 +58,20 @@
         checkBounds(load);
     }
 
+    /// Plays a load beside another one whose part crashes servers in the first place.
+    void playTwoParts(PromptPartLoad::Options options)
+    {
+        PromptPartLoad first(*fleet, options);
+        options.poison = "worse";
+        options.place = PromptPartLoad::Place::First;
+        PromptPartLoad second(*fleet, options);
+        first.start();
+        second.start();
+        fleet->run(first.duration() + 20s);
+        checkBounds(first);
+        checkBounds(second);
+    }
+
     /// Plays a load of which no request crashes its server, so that none is to be refused.
     void playSound(const std::function<void(int second)> &disturb)
     {
@@ -160,16 +174,7 @@
 TEST(PromptParts, twoPartsThatCrashServersAtOnceAreRefused)
 {
     build(7, 3);
-    PromptPartLoad::Options options = load(PromptPartLoad::Place::Second);
-    PromptPartLoad first(*fleet, options);
-    options.poison = "worse";
-    options.place = PromptPartLoad::Place::First;
-    PromptPartLoad second(*fleet, options);
-    first.start();
-    second.start();
-    fleet->run(first.duration() + 20s);
-    checkBounds(first);
-    checkBounds(second);
+    playTwoParts(load(PromptPartLoad::Place::Second));
     CHECK_EQUAL(0U, fleet->innocents.refusedAsPoisonous);
 }
 
@@ -287,15 +292,7 @@
     PromptPartLoad::Options options = load(PromptPartLoad::Place::Second);
     options.crashShare = 0.2;
     options.span = 40s;
-    PromptPartLoad first(*fleet, options);
-    options.poison = "worse";
-    options.place = PromptPartLoad::Place::First;
-    PromptPartLoad second(*fleet, options);
-    first.start();
-    second.start();
-    fleet->run(first.duration() + 20s);
-    checkBounds(first);
-    checkBounds(second);
+    playTwoParts(options);
     CHECK_EQUAL(0U, fleet->innocents.refusedAsPoisonous);
 }
 
