Drain: a planned stop waits until callers have taken their answers

Cause: the drain counted sessions. A session ends when its call has decided the last byte of the answer; the bytes may wait in ResponseStream for the caller to read, and the end of the loop shut the connections down. Ruled out: the server's sending (it had sent the whole answer 3.6 s after SIGTERM) and the grace (the process ended by itself).

Change: the server knows the answers of all listeners that have ended and are not written yet (HttpServer::unsentAnswers()); Drain waits for them in each phase, up to its deadline. What is cut off at the deadline is logged, and an answer that ends with its connection is reset then, since it looked whole.

SimNet has clients that read slowly.

--- a/src/calls/tests/simdaemon.cpp
+++ b/src/calls/tests/simdaemon.cpp
@@ -27,6 +27,7 @@
     Drain::Hooks hooks;
     hooks.onPhaseChanged = [](DrainPhase) {};
     hooks.requestsInProgress = [this] { return callsInProgress(); };
+    hooks.unsentAnswers = [] { return std::size_t{0}; };
     hooks.unsettledClaims = [this] { return unsettled(); };
     hooks.handOver = [] {};
     hooks.exit = [this] { m_hasExited = true; };
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -5,6 +5,7 @@
 #include "base/unixtime.h"
 #include "daemon/requestfingerprint.h"
 #include "daemon/runstopcalls.h"
+#include "daemon/unsentanswerlog.h"
 #include "observe/logging.h"
 
 namespace currantwalk {
@@ -229,6 +230,7 @@
     m_metrics.set("currantwalk_buffered_bytes", {}, static_cast<double>(m_buffers.used()));
     m_metrics.set("currantwalk_received_bytes", {},
                   static_cast<double>(m_loop.server().receivedBytes()));
+    setUnsentAnswerGauges(m_metrics, m_loop.server().unsentAnswers());
     m_metrics.set("currantwalk_nodes", {}, static_cast<double>(m_roster.size()));
     m_metrics.set("currantwalk_connections", {},
                   static_cast<double>(m_loop.server().connections()));
@@ -246,6 +248,7 @@
                 "Phase is now " + std::string(drainPhaseName(phase)) + ".");
     };
     hooks.requestsInProgress = [this] { return m_sessions.size() + m_runStopper->size(); };
+    hooks.unsentAnswers = [this] { return m_loop.server().unsentAnswers().answers; };
     hooks.unsettledClaims = [] { return std::size_t{0}; };
     hooks.handOver = [] {};
     hooks.exit = [this] {
@@ -253,7 +256,10 @@
         for (RelaySession *session : sessions())
             session->shutDown();
         // One more round lets the last answers be written.
-        m_loop.timers().scheduleAfter(StopReserve / 3, [this] { m_loop.stop(); });
+        m_loop.timers().scheduleAfter(StopReserve / 3, [this] {
+            logUnsentAnswers(m_loop.server().unsentAnswers());
+            m_loop.stop();
+        });
     };
     m_drain = Drain::create(options, std::move(hooks), m_loop.timers());
 }
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -8,6 +8,7 @@
 #include "base/unixtime.h"
 #include "daemon/operatorsapi.h"
 #include "daemon/poisonmessages.h"
+#include "daemon/unsentanswerlog.h"
 #include "observe/logging.h"
 #include "routing/zonepolicy.h"
 
@@ -321,17 +322,22 @@
     hooks.requestsInProgress = [this] {
         return m_callers->requestsInProgress() + m_cancellations->pending();
     };
+    hooks.unsentAnswers = [this] { return m_loop.server().unsentAnswers().answers; };
     hooks.unsettledClaims = [this] { return m_claims->unsettled(); };
     hooks.handOver = [this] {
         m_duties->handOver();
         m_membership->leave();
     };
-    hooks.exit = [this] { m_loop.stop(); };
+    hooks.exit = [this] {
+        logUnsentAnswers(m_loop.server().unsentAnswers());
+        m_loop.stop();
+    };
     m_drain = Drain::create(options, std::move(hooks), m_loop.timers());
 }
 
 void Node::refreshGauges()
 {
+    setUnsentAnswerGauges(m_metrics, m_loop.server().unsentAnswers());
     m_metrics.set("currantwalk_received_bytes", {},
                   static_cast<double>(m_loop.server().receivedBytes()));
     // A state that nobody is in any more has to read 0.
--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -9,7 +9,6 @@
 
 namespace currantwalk {
 
-static constexpr const char *CallersHost = "10.9.0.1";
 /// In the text of a catalogue that lacks the callers' key.
 static constexpr const char *WithoutKey = " without key";
 /// In the text of a catalogue whose list of organisations is empty.
--- a/src/daemon/tests/entryfleet.h
+++ b/src/daemon/tests/entryfleet.h
@@ -37,6 +37,7 @@
     static constexpr const char *KeyHeader = "key";
     static constexpr const char *CallersKey = "key";
     static constexpr const char *NoKey = "-";
+    static constexpr const char *CallersHost = "10.9.0.1";
     /// Objective of a stream's first part.
     static constexpr Duration TimelyStart = std::chrono::seconds(2);
 
--- a/src/daemon/tests/plannedstoptest.cpp
+++ b/src/daemon/tests/plannedstoptest.cpp
@@ -60,6 +60,44 @@
     checkAllAnswered();
 }
 
+// Guards against answers that a server has sent whole and that are lost at the end of a planned
+// stop, since their callers read a little more slowly than the server sends.
+TEST(PlannedStop, answersReachCallersThatReadSlowly)
+{
+    for (const std::size_t nodes : {7U, 90U}) {
+        EntryFleet::Options options;
+        options.nodes = nodes;
+        options.generationServers = std::max<std::size_t>(12, nodes);
+        fleet = std::make_unique<EntryFleet>(options);
+        tally = {};
+        for (const std::unique_ptr<SimServer> &server : fleet->servers) {
+            server->options.events = server->options.service == "engines" ? 150 : 0;
+            server->options.slots = 24;
+        }
+        // A stream has about 420 bytes in a second.
+        fleet->net.readRate = [](const std::string &client) -> std::size_t {
+            return client == EntryFleet::CallersHost ? 330 : 0;
+        };
+        for (std::size_t i = 0; i < 4 * nodes; ++i)
+            fleet->request(i % nodes, "POST", "/stream/x", "body " + std::to_string(i), tally);
+        fleet->run(2s);
+        const TimePoint killedAt = fleet->timers.now() + Grace;
+        for (std::size_t node = 0; node < nodes; ++node)
+            fleet->node(node).beginDrain();
+        while (fleet->timers.now() < killedAt) {
+            fleet->run(10ms);
+            for (std::size_t node = 0; node < nodes; ++node) {
+                if (fleet->isUp(node) && fleet->hasStopped(node))
+                    fleet->killNode(node);
+            }
+        }
+        for (std::size_t node = 0; node < nodes; ++node)
+            CHECK(!fleet->isUp(node));
+        checkAllAnswered();
+        LONGS_EQUAL(4 * nodes, tally.served);
+    }
+}
+
 // Guards against a process that is killed while it waits for a deadline that was set anew.
 TEST(PlannedStop, aSecondOrderToStopDoesNotPostponeTheEnd)
 {
--- a/src/daemon/tests/simnet.cpp
+++ b/src/daemon/tests/simnet.cpp
@@ -19,7 +19,7 @@
 
     void start(HttpResponseHead head) override
     {
-        toClient([head = std::move(head)](SimConversation &to) {
+        toClient(0, [head = std::move(head)](SimConversation &to) {
             if (to.hooks.onHead)
                 to.hooks.onHead(head);
         });
@@ -27,17 +27,30 @@
 
     void write(std::string data) override
     {
-        toClient([data = std::move(data)](SimConversation &to) {
+        const std::size_t bytes = data.size();
+        toClient(bytes, [data = std::move(data)](SimConversation &to) {
             if (to.hooks.onBody)
                 to.hooks.onBody(data);
         });
     }
 
     void finish() override { end(absl::OkStatus()); }
-    void abort() override { end(makeError(ErrorCode::ConnectionLost, "reset")); }
+
+    // What the client has not read is lost.
+    void abort() override
+    {
+        m_conversation->isCutOff = true;
+        m_conversation->readUntil = {};
+        end(makeError(ErrorCode::ConnectionLost, "reset"));
+    }
+
     void closeAfterAnswer() override {}
-    std::size_t pendingBytes() const override { return 0; }
-    void onDrained(std::function<void()>) override {}
+    std::size_t pendingBytes() const override { return m_conversation->pendingBytes; }
+
+    void onDrained(std::function<void()> callback) override
+    {
+        m_conversation->onDrained = std::move(callback);
+    }
 
     void onClosed(std::function<void()> callback) override
     {
@@ -47,21 +60,28 @@
     bool isClosed() const override { return !m_conversation->isServerOpen; }
 
 private:
-    void toClient(std::function<void(SimConversation &)> action)
+    void toClient(std::size_t bytes, std::function<void(SimConversation &)> action)
     {
         const std::shared_ptr<SimConversation> to = m_conversation;
         if (!to->isServerOpen || to->isMuted)
             return;
-        m_net.deliver(to->server.address, to->client, [to, action = std::move(action)] {
-            if (to->isClientOpen)
-                action(*to);
-        });
+        const auto send = [&net = m_net, to, action = std::move(action)] {
+            net.deliver(to->server.address, to->client, [to, action] {
+                if (to->isClientOpen)
+                    action(*to);
+            });
+        };
+        if (to->isCutOff)
+            send();
+        else
+            m_net.whenRead(to, bytes, send);
     }
 
     void end(const absl::Status &status)
     {
         const std::shared_ptr<SimConversation> to = m_conversation;
-        toClient([to, status, &net = m_net](SimConversation &) { net.endClient(to, status); });
+        to->isUnsent = to->pendingBytes > 0 && !to->isCutOff;
+        toClient(0, [to, status, &net = m_net](SimConversation &) { net.endClient(to, status); });
         to->isServerOpen = false;
         to->onServerClosed = nullptr;
     }
@@ -139,9 +159,11 @@
         m_silent.insert(endpoint);
     const auto conversations = m_conversations;
     for (const auto &[number, each] : conversations) {
-        if (!each->isServerOpen || each->server != endpoint)
+        if ((!each->isServerOpen && !each->isUnsent) || each->server != endpoint)
             continue;
         each->isServerOpen = false;
+        each->isUnsent = false;
+        each->isCutOff = true;
         each->onServerClosed = nullptr;
         each->isMuted = end == SimEnd::Silent;
         if (!each->isMuted)
@@ -151,6 +173,48 @@
     }
 }
 
+void SimNet::whenRead(const std::shared_ptr<SimConversation> &conversation, std::size_t bytes,
+                      std::function<void()> action)
+{
+    const std::size_t rate = readRate ? readRate(conversation->client) : 0;
+    if (rate == 0 && conversation->pendingBytes == 0) {
+        action();
+        return;
+    }
+    conversation->pendingBytes += bytes;
+    const Duration time = rate == 0 ? Duration::zero()
+                                    : Duration(std::chrono::microseconds(bytes * 1000000 / rate));
+    conversation->readUntil = std::max(conversation->readUntil, m_timers.now()) + time;
+    m_timers.scheduleAt(
+            conversation->readUntil, [this, conversation, bytes, action = std::move(action)] {
+                conversation->pendingBytes -= bytes;
+                if (conversation->isCutOff)
+                    return;
+                action();
+                if (conversation->pendingBytes > 0)
+                    return;
+                conversation->isUnsent = false;
+                const auto host = m_hosts.find(conversation->server.address);
+                if (host != m_hosts.end() && conversation->isServerOpen && conversation->onDrained)
+                    host->second->run([conversation] {
+                        if (conversation->isServerOpen)
+                            conversation->onDrained();
+                    });
+            });
+}
+
+HttpUnsentAnswers SimNet::unsentAnswers(const std::string &host) const
+{
+    HttpUnsentAnswers unsent;
+    for (const auto &[number, each] : m_conversations) {
+        if (!each->isUnsent || each->server.address != host)
+            continue;
+        ++unsent.answers;
+        unsent.bytes += each->pendingBytes;
+    }
+    return unsent;
+}
+
 // The hooks of a conversation may own what holds the conversation.
 SimNet::~SimNet()
 {
@@ -312,6 +376,7 @@
     }
 
     std::size_t connections() const override { return 0; }
+    HttpUnsentAnswers unsentAnswers() const override { return m_net.unsentAnswers(m_host); }
 
 private:
     SimNet &m_net;
--- a/src/daemon/tests/simnet.h
+++ b/src/daemon/tests/simnet.h
@@ -37,7 +37,11 @@
     SendProgress progress = SendProgress::NothingSent;
     bool isClientOpen = true;
     bool isServerOpen = false;
-    bool isMuted = false; ///< Whether its server has gone silent.
+    bool isMuted = false;  ///< Whether its server has gone silent.
+    bool isUnsent = false; ///< Whether the answer has ended and waits for the client to read.
+    bool isCutOff = false; ///< Whether the server has ended before the client had read.
+    std::size_t pendingBytes = 0;
+    TimePoint readUntil{}; ///< When the client has read all that has been written.
 };
 
 /// HTTP between hosts on shared virtual time. Messages of one direction arrive in order; between
@@ -56,6 +60,8 @@
 
     /// Returns whether messages between two hosts arrive; all do if it is not set.
     std::function<bool(const std::string &from, const std::string &to)> isReachable;
+    /// Returns how many bytes of an answer a client reads in a second; 0, or not set: all at once.
+    std::function<std::size_t(const std::string &client)> readRate;
     /// Returns how much longer than the latency a message takes; no longer if it is not set.
     std::function<Duration(const std::string &from, const std::string &to)> extraDelay;
 
@@ -77,6 +83,12 @@
     void endClient(const std::shared_ptr<SimConversation> &conversation,
                    const absl::Status &status);
     void endServer(const std::shared_ptr<SimConversation> &conversation);
+    /// Runs \a action at the server when its client has read \a bytes more; not after the server
+    /// has ended.
+    void whenRead(const std::shared_ptr<SimConversation> &conversation, std::size_t bytes,
+                  std::function<void()> action);
+    /// Returns the answers of \a host that wait for clients to read.
+    HttpUnsentAnswers unsentAnswers(const std::string &host) const;
 
 private:
     friend class SimExchange;
--- a/src/drain/drain.cpp
+++ b/src/drain/drain.cpp
@@ -52,6 +52,7 @@
     void enter(DrainPhase next);
     void scheduleCheck(Duration delay);
     void check();
+    bool isServing() const;
     void startSettling();
     void finish();
 
@@ -103,13 +104,20 @@
 {
     if (m_phase == DrainPhase::Announcing)
         enter(DrainPhase::Refusing);
-    if (m_phase == DrainPhase::Refusing && m_hooks.requestsInProgress() == 0)
+    if (m_phase == DrainPhase::Refusing && !isServing())
         startSettling();
-    if (m_phase == DrainPhase::Settling && m_hooks.unsettledClaims() == 0)
+    // A request that is refused meanwhile has an answer to send, too.
+    if (m_phase == DrainPhase::Settling && m_hooks.unsettledClaims() == 0 && !isServing())
         return finish();
     scheduleCheck(CheckInterval);
 }
 
+// A request has ended for the node when its answer is decided; for its caller when it is sent.
+bool PhasedDrain::isServing() const
+{
+    return m_hooks.requestsInProgress() != 0 || m_hooks.unsentAnswers() != 0;
+}
+
 // Leases are dropped only now, because requests in progress may still need them.
 void PhasedDrain::startSettling()
 {
--- a/src/drain/drain.h
+++ b/src/drain/drain.h
@@ -13,7 +13,7 @@
     Serving,
     Announcing, ///< Reports not ready, but accepts requests until the load balancer notices.
     Refusing,   ///< Rejects new requests; those in progress continue.
-    Settling,   ///< No request in progress; leases are handed over and claims settled.
+    Settling,   ///< Nothing in progress or unsent; leases are handed over and claims settled.
     Finished,
 };
 
@@ -21,7 +21,7 @@
 std::string_view drainPhaseName(DrainPhase phase);
 
 /// The graceful shutdown of one daemon. It aborts no requests: unless an operator sets a deadline,
-/// it waits until the last request has ended.
+/// it waits until the last request has ended and its answer has been sent.
 class Drain
 {
 public:
@@ -34,6 +34,8 @@
     {
         std::function<void(DrainPhase)> onPhaseChanged;
         std::function<std::size_t()> requestsInProgress;
+        /// Returns the number of answers that callers have not taken whole yet.
+        std::function<std::size_t()> unsentAnswers;
         std::function<std::size_t()> unsettledClaims;
         std::function<void()> handOver; ///< Drops leases and leaves the membership.
         std::function<void()> exit;
--- a/src/drain/tests/draintest.cpp
+++ b/src/drain/tests/draintest.cpp
@@ -14,6 +14,7 @@
     VirtualTimerService timers;
     std::vector<DrainPhase> phases;
     std::size_t requests = 0;
+    std::size_t unsent = 0;
     std::size_t claims = 0;
     int handOverCalls = 0;
     int exitCalls = 0;
@@ -24,6 +25,7 @@
         Drain::Hooks hooks;
         hooks.onPhaseChanged = [this](DrainPhase phase) { phases.push_back(phase); };
         hooks.requestsInProgress = [this] { return requests; };
+        hooks.unsentAnswers = [this] { return unsent; };
         hooks.unsettledClaims = [this] { return claims; };
         hooks.handOver = [this] { ++handOverCalls; };
         hooks.exit = [this] { ++exitCalls; };
@@ -57,6 +59,38 @@
                                       DrainPhase::Settling, DrainPhase::Finished}));
 }
 
+// Guards against answers that wait for slow callers and are lost at the end of a planned stop.
+TEST(Drain, waitsUntilAnswersAreSentInEachPhase)
+{
+    unsent = 2;
+    claims = 1;
+    drain->begin();
+    timers.advance(1h);
+    CHECK(drain->phase() == DrainPhase::Refusing);
+    unsent = 0;
+    timers.advance(1s);
+    CHECK(drain->phase() == DrainPhase::Settling);
+    unsent = 1;
+    claims = 0;
+    timers.advance(1h);
+    CHECK_EQUAL(0, exitCalls);
+    unsent = 0;
+    timers.advance(1s);
+    CHECK_EQUAL(1, exitCalls);
+}
+
+// Guards against a caller that reads nothing and holds a planned stop up past its deadline.
+TEST(Drain, deadlineEndsTheWaitForAnswers)
+{
+    unsent = 1;
+    drain->begin();
+    drain->setDeadline(7s);
+    timers.advance(6900ms);
+    CHECK_EQUAL(0, exitCalls);
+    timers.advance(200ms);
+    CHECK_EQUAL(1, exitCalls);
+}
+
 TEST(Drain, onlyDeadlineAbortsRequestsInProgress)
 {
     requests = 1;
--- a/src/net/h2oexchange.cpp
+++ b/src/net/h2oexchange.cpp
@@ -124,14 +124,32 @@
     return text;
 }
 
+HttpUnsentAnswers OpenAnswers::unsent() const
+{
+    HttpUnsentAnswers unsent;
+    for (const ResponseStream *answer : m_answers) {
+        if (!answer->isUnsent())
+            continue;
+        ++unsent.answers;
+        unsent.bytes += answer->pendingBytes();
+    }
+    return unsent;
+}
+
+void OpenAnswers::disconnect() const
+{
+    for (ResponseStream *answer : m_answers)
+        answer->disconnect();
+}
+
 std::shared_ptr<H2oExchange> ResponseStream::attach(h2o_req_t *request, TimerService &timers,
-                                                    bool isBodyKept)
+                                                    OpenAnswers &answers, bool isBodyKept)
 {
     // The library's pool runs the disposal when the request ends, however it ends.
     void *memory = h2o_mem_alloc_shared(&request->pool, sizeof(StreamHolder), [](void *holder) {
         delete static_cast<StreamHolder *>(holder)->stream;
     });
-    auto *stream = new ResponseStream(request, timers);
+    auto *stream = new ResponseStream(request, timers, answers);
     static_cast<StreamHolder *>(memory)->stream = stream;
     auto exchange = std::make_shared<H2oExchange>(
             copyRequest(*request, isBodyKept), remoteAddressOf(*request->conn), stream,
@@ -141,9 +159,13 @@
     return exchange;
 }
 
-ResponseStream::ResponseStream(h2o_req_t *request, TimerService &timers)
-    : m_request(request), m_timers(timers), m_isHeadOnly(viewOf(request->input.method) == "HEAD")
+ResponseStream::ResponseStream(h2o_req_t *request, TimerService &timers, OpenAnswers &answers)
+    : m_request(request),
+      m_timers(timers),
+      m_answers(answers),
+      m_isHeadOnly(viewOf(request->input.method) == "HEAD")
 {
+    m_answers.add(*this);
     m_generator.proceed = &ResponseStream::onProceed;
     m_generator.stop = &ResponseStream::onStop;
     m_generator.stream = this;
@@ -151,6 +173,7 @@
 
 ResponseStream::~ResponseStream()
 {
+    m_answers.remove(*this);
     m_timers.cancel(m_peerTimer);
     ServerConnection &connection = *ServerConnection::of(socket());
     if (m_isWatching)
--- a/src/net/h2oexchange.h
+++ b/src/net/h2oexchange.h
@@ -1,6 +1,8 @@
 #ifndef CURRANTWALK_NET_H2OEXCHANGE_H
 #define CURRANTWALK_NET_H2OEXCHANGE_H
 
+#include <unordered_set>
+
 #include "net/h2oapi.h"
 #include "net/http.h"
 #include "net/receiveguard.h"
@@ -8,6 +10,21 @@
 namespace currantwalk {
 
 class H2oExchange;
+class ResponseStream;
+
+/// The answers of a server's listeners that the library has not released yet.
+class OpenAnswers
+{
+public:
+    void add(ResponseStream &answer) { m_answers.insert(&answer); }
+    void remove(ResponseStream &answer) { m_answers.erase(&answer); }
+    HttpUnsentAnswers unsent() const;
+    /// Disconnects the callers of all answers, so that none of these looks whole.
+    void disconnect() const;
+
+private:
+    std::unordered_set<ResponseStream *> m_answers;
+};
 
 /// The library's side of one exchange: lives as long as the library's request does and owns the
 /// bytes that the library is sending.
@@ -17,9 +34,9 @@
     /// Takes charge of \a request and returns the exchange to hand to the listener's handler;
     /// without \a isBodyKept the exchange has no body.
     static std::shared_ptr<H2oExchange> attach(h2o_req_t *request, TimerService &timers,
-                                               bool isBodyKept);
+                                               OpenAnswers &answers, bool isBodyKept);
 
-    ResponseStream(h2o_req_t *request, TimerService &timers);
+    ResponseStream(h2o_req_t *request, TimerService &timers, OpenAnswers &answers);
     ~ResponseStream();
     ResponseStream(const ResponseStream &) = delete;
     ResponseStream &operator=(const ResponseStream &) = delete;
@@ -34,6 +51,10 @@
 
     void setExchange(H2oExchange *exchange) { m_exchange = exchange; }
     bool isEnding() const { return m_state != State::Open; }
+    /// Returns whether the answer has been ended and a part of it is not yet written.
+    bool isUnsent() const { return m_state == State::Finishing || m_state == State::Sent; }
+    /// Makes the connection fail, so that the answer can't look whole to the caller.
+    void disconnect();
     std::size_t pendingBytes() const { return m_queuedBytes + m_inFlightBytes; }
     h2o_socket_t *socket() const;
 
@@ -63,7 +84,6 @@
     void addHeader(const HttpHeader &header);
     Framing framingOfBody() const;
     void queue(std::string data);
-    void disconnect();
     bool hasBody() const;
     bool acceptsBody(std::size_t bytes) const;
     void proceed();
@@ -76,6 +96,7 @@
 
     h2o_req_t *m_request;
     TimerService &m_timers;
+    OpenAnswers &m_answers;
     H2oExchange *m_exchange = nullptr;
     Generator m_generator{};
     std::vector<std::string> m_queued;
--- a/src/net/h2oserver.cpp
+++ b/src/net/h2oserver.cpp
@@ -47,23 +47,23 @@
     return fd;
 }
 
-absl::StatusOr<std::unique_ptr<H2oListener>> H2oListener::create(h2o_loop_t *loop,
-                                                                 ReceiveGuard &guard,
-                                                                 const HttpListenerOptions &options,
-                                                                 HttpHandler handler)
+absl::StatusOr<std::unique_ptr<H2oListener>>
+H2oListener::create(h2o_loop_t *loop, ReceiveGuard &guard, OpenAnswers &answers,
+                    const HttpListenerOptions &options, HttpHandler handler)
 {
     std::unique_ptr<H2oListener> listener(
-            new H2oListener(loop, guard, options, std::move(handler)));
+            new H2oListener(loop, guard, answers, options, std::move(handler)));
     const absl::Status status = listener->open(options);
     if (!status.ok())
         return status;
     return listener;
 }
 
-H2oListener::H2oListener(h2o_loop_t *loop, ReceiveGuard &guard, const HttpListenerOptions &options,
-                         HttpHandler handler)
+H2oListener::H2oListener(h2o_loop_t *loop, ReceiveGuard &guard, OpenAnswers &answers,
+                         const HttpListenerOptions &options, HttpHandler handler)
     : m_loop(loop),
       m_guard(guard),
+      m_answers(answers),
       m_handler(std::move(handler)),
       m_maxConnections(options.maxConnections),
       m_maxHeadBytes(options.maxHeadBytes)
@@ -220,7 +220,7 @@
             *ServerConnection::of(request->conn->callbacks->get_socket(request->conn));
     const bool hasRoom = guard.admitBody(connection, request->entity.len);
     std::shared_ptr<H2oExchange> exchange =
-            ResponseStream::attach(request, guard.timers(), hasRoom);
+            ResponseStream::attach(request, guard.timers(), listener->m_answers, hasRoom);
     guard.releaseBody(connection, request->entity);
     if (!listener->m_handler)
         exchange->abort();
@@ -236,7 +236,7 @@
 absl::StatusOr<Endpoint> H2oServer::listen(const HttpListenerOptions &options, HttpHandler handler)
 {
     absl::StatusOr<std::unique_ptr<H2oListener>> listener =
-            H2oListener::create(m_loop, m_guard, options, std::move(handler));
+            H2oListener::create(m_loop, m_guard, m_answers, options, std::move(handler));
     if (!listener.ok())
         return listener.status();
     const Endpoint endpoint = (*listener)->endpoint();
@@ -269,6 +269,7 @@
 void H2oServer::disconnectAll()
 {
     m_guard.setLimits({});
+    m_answers.disconnect();
     for (const std::unique_ptr<H2oListener> &listener : m_listeners)
         listener->disconnectAll();
 }
--- a/src/net/h2oserver.h
+++ b/src/net/h2oserver.h
@@ -14,10 +14,9 @@
 class H2oListener
 {
 public:
-    static absl::StatusOr<std::unique_ptr<H2oListener>> create(h2o_loop_t *loop,
-                                                               ReceiveGuard &guard,
-                                                               const HttpListenerOptions &options,
-                                                               HttpHandler handler);
+    static absl::StatusOr<std::unique_ptr<H2oListener>>
+    create(h2o_loop_t *loop, ReceiveGuard &guard, OpenAnswers &answers,
+           const HttpListenerOptions &options, HttpHandler handler);
     ~H2oListener();
     H2oListener(const H2oListener &) = delete;
     H2oListener &operator=(const H2oListener &) = delete;
@@ -45,8 +44,8 @@
         H2oListener *const listener;
     };
 
-    H2oListener(h2o_loop_t *loop, ReceiveGuard &guard, const HttpListenerOptions &options,
-                HttpHandler handler);
+    H2oListener(h2o_loop_t *loop, ReceiveGuard &guard, OpenAnswers &answers,
+                const HttpListenerOptions &options, HttpHandler handler);
     absl::Status open(const HttpListenerOptions &options);
     void configure(const HttpListenerOptions &options);
     static void onAcceptable(h2o_socket_t *socket, const char *error);
@@ -56,6 +55,7 @@
 
     h2o_loop_t *m_loop;
     ReceiveGuard &m_guard;
+    OpenAnswers &m_answers;
     HttpHandler m_handler;
     std::size_t m_maxConnections;
     std::size_t m_maxHeadBytes;
@@ -79,6 +79,7 @@
                                     HttpHandler handler) override;
     void stopListening() override;
     std::size_t connections() const override;
+    HttpUnsentAnswers unsentAnswers() const override { return m_answers.unsent(); }
     void setReceiveLimits(const HttpReceiveLimits &limits) override { m_guard.setLimits(limits); }
     void setRequestLimits(const Endpoint &listener, const HttpRequestLimits &limits) override;
     std::size_t receivedBytes() const override { return m_guard.budget().used(); }
@@ -89,6 +90,7 @@
 private:
     h2o_loop_t *m_loop;
     ReceiveGuard m_guard;
+    OpenAnswers m_answers;
     std::vector<std::unique_ptr<H2oListener>> m_listeners;
 };
 
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -136,6 +136,13 @@
     Duration idleTime{0}; ///< Between two parts of a body or two requests; 0: likewise.
 };
 
+/// Answers that have been ended and not yet been written to their connections whole.
+struct HttpUnsentAnswers
+{
+    std::size_t answers = 0;
+    std::size_t bytes = 0;
+};
+
 /// A server on the loop; listeners are separate so that callers, peers and operators are told
 /// apart by the address that they speak to.
 class HttpServer
@@ -150,6 +157,8 @@
     virtual void stopListening() = 0;
     /// Returns the number of open connections.
     virtual std::size_t connections() const = 0;
+    /// Returns what callers that read slowly still have to take. It is lost if the process ends.
+    virtual HttpUnsentAnswers unsentAnswers() const = 0;
     /// Bounds what connections of all listeners send; without a call there is no bound.
     virtual void setReceiveLimits(const HttpReceiveLimits &) {}
     /// Changes the limits of \a listener.
--- a/src/net/tests/closingtest.cpp
+++ b/src/net/tests/closingtest.cpp
@@ -1,6 +1,9 @@
 #include <memory>
+#include <string>
+#include <thread>
 
-#include "net/eventloop.h"
+#include "net/tests/looptesting.h"
+#include "net/tests/rawsocket.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -19,3 +22,74 @@
     serverLoop.reset();
     CHECK_EQUAL(0, calls);
 }
+
+// The end of a server while its callers read slowly, or not at all.
+TEST_GROUP(ClosingAnswers)
+{
+    // More than the system keeps for a connection of the loopback.
+    static constexpr std::size_t AnswerBytes = std::size_t{32} * 1024 * 1024;
+
+    std::unique_ptr<LoopBench> bench = std::make_unique<LoopBench>();
+    std::unique_ptr<RawSocket> caller;
+
+    // Sends a request and ends its answer, of which the caller has read nothing then.
+    void answer(const std::string &version)
+    {
+        caller = std::make_unique<RawSocket>(bench->server);
+        const std::string text = "GET / " + version + "\r\nhost: h\r\n\r\n";
+        std::string_view rest = text;
+        CHECK(bench->runUntil([&] {
+            rest = rest.empty() ? rest : caller->send(rest);
+            return rest.empty() && !bench->exchanges.empty();
+        }));
+        bench->exchanges.back()->start({200, {}});
+        // What is written behind a first part goes to the library with the answer's end.
+        bench->exchanges.back()->write("x");
+        bench->exchanges.back()->write(std::string(AnswerBytes, 'x'));
+        bench->exchanges.back()->finish();
+        bench->exchanges.clear();
+        for (int i = 0; i < 10; ++i)
+            bench->loop->runOnce(std::chrono::milliseconds(1));
+    }
+};
+
+// Guards against a planned stop that does not know of answers that callers have not taken.
+TEST(ClosingAnswers, anAnswerIsUnsentUntilItsCallerHasReadIt)
+{
+    for (const char *version : {"HTTP/1.1", "HTTP/1.0"}) {
+        answer(version);
+        LONGS_EQUAL(1, bench->loop->server().unsentAnswers().answers);
+        CHECK(bench->loop->server().unsentAnswers().bytes >= AnswerBytes);
+        CHECK(bench->runUntil([&] {
+            caller->receive();
+            return bench->loop->server().unsentAnswers().answers == 0;
+        }));
+        CHECK(bench->runUntil([&] {
+            caller->receive();
+            return caller->received().size() > AnswerBytes;
+        }));
+        LONGS_EQUAL(0, bench->loop->server().unsentAnswers().bytes);
+    }
+}
+
+TEST(ClosingAnswers, anAnswerIsNotUnsentOnceItsCallerHasLeft)
+{
+    answer("HTTP/1.1");
+    caller.reset();
+    CHECK(bench->runUntil([&] { return bench->loop->server().unsentAnswers().answers == 0; }));
+}
+
+// Guards against an answer that ends with its connection, is cut off by the end of the process, and
+// looks whole to its caller.
+TEST(ClosingAnswers, anAnswerCutOffByTheEndOfTheProcessDoesNotLookWhole)
+{
+    answer("HTTP/1.0");
+    bench.reset();
+    for (int i = 0; i < 1000 && !caller->isClosed(); ++i) {
+        caller->receive();
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    CHECK(caller->isClosed());
+    CHECK(caller->received().size() < AnswerBytes);
+    CHECK(caller->isReset());
+}
