RunStopper: the call that stops a run is sent whatever holds requests back

What callers saw: nothing in their answers.

Cause: the call was sent under the conditions of a request. The one call that a held-off target may get had been used for the copy (TargetHoldOffs::tryResume), so the node itself refused each stop and counted that as an answer. A limit stood in the way in the same manner. Ruled out: the server (it answered each call at once).

Change: the call is made whatever the hold-off, limit or phase of the target; a grant of a limit is used up where one is left. A copy that nothing goes on from is freed once the target takes calls again, in one place for sessions and stops.

Tests that failed before: LeftRuns.streamsThatMoveAwayFromHeldOffServersAreStoppedThere (7 and 90 nodes, with at most two requests in the time that a server wants none) and LeftRuns.streamsResumedFromBackupsAreStoppedAtServersWithALimit.

--- a/src/daemon/relaysessioncopies.cpp
+++ b/src/daemon/relaysessioncopies.cpp
@@ -1,4 +1,5 @@
 #include "daemon/relaysession.h"
+#include "daemon/runstopcalls.h"
 #include "observe/logging.h"
 
 namespace currantwalk {
@@ -162,39 +163,13 @@
     return other->entry.endpoint;
 }
 
-// A copy that is not freed ends by itself after a time. The call outlives the request.
+// The call outlives the request.
 void RelaySession::freeCopy(const TargetId &source, const StreamCopy &copy)
 {
-    const ServiceTarget *const holder = m_services.targets.find(source);
-    if (holder && (isHeldOff(*holder) || isEmptied(*holder, "drop")))
-        return;
-    RelayServices &services = m_services;
-    const TargetSendNote sent = holder ? ownCall(*holder) : TargetSendNote{source};
-    const auto free = [&services, copy, sent](bool isGranted) {
-        const ServiceTarget *const current = services.targets.find(sent.target);
-        if (!isGranted || (current && services.targets.isEmptied(*current))
-            || !services.limiter.take(sent.target, sent.startedAt)) {
-            logLine(LogPart::Targets, LogLevel::Info,
-                    "A copy named by " + sent.target.text()
-                            + " was not freed: the target takes no further requests.");
-            return;
-        }
-        HttpCallOptions options;
-        options.endpoint = copy.handleIssuer;
-        options.isConnectionKept = false;
-        options.connectTimeout = ConnectTimeout;
-        services.fetcher.fetch(options, services.bindings.writeDropCopy(copy.handle), CopyTimeout,
-                               [&services, sent](const FetchResult &result) {
-                                   services.noteCallAnswer(sent, result.response);
-                                   if (!result.status.ok())
-                                       logLine(LogPart::Targets, LogLevel::Info,
-                                               "A copy named by " + sent.target.text()
-                                                       + " was not freed.");
-                               });
-    };
-    m_services.limiter.request(sent.target, sent.startedAt,
-                               holder ? holder->entry.zone : m_services.settings.zone,
-                               GrantUse::Repeat, free);
+    const ServiceTarget *const issuer = m_services.targets.find(source);
+    currantwalk::freeCopy(m_services, {m_caller.id, source, issuer ? issuer->entry.startedAt : 0,
+                                       issuer ? issuer->entry.zone : m_services.settings.zone,
+                                       copy.handleIssuer, copy.handle});
 }
 
 // The node's own zone comes first: a copy there can be reached when the zone is cut off.
--- a/src/daemon/runstopcalls.cpp
+++ b/src/daemon/runstopcalls.cpp
@@ -8,10 +8,13 @@
 // The answer comes when what is new in the run's memory has been copied.
 static constexpr Duration StopTimeout = std::chrono::milliseconds(2500);
 
-static HttpCallOptions callOptions(const AbandonedRun &run)
+// A copy that has to wait longer to be freed has ended by itself.
+static constexpr Duration MaxFreeDelay = std::chrono::seconds(10);
+
+static HttpCallOptions callOptions(const Endpoint &endpoint)
 {
     HttpCallOptions options;
-    options.endpoint = run.endpoint;
+    options.endpoint = endpoint;
     options.isConnectionKept = false;
     options.connectTimeout = ConnectTimeout;
     return options;
@@ -30,6 +33,19 @@
     return {wasSent ? RunStopResult::Unknown : RunStopResult::Unreachable, {}};
 }
 
+// Counts the call in what a target with a limit is sent, as far as grants are left.
+static void chargeCall(RelayServices &services, const AbandonedRun &run)
+{
+    services.limiter.request(
+            run.target, run.startedAt, run.zone, GrantUse::First,
+            [&services, target = run.target, startedAt = run.startedAt](bool isGranted) {
+                if (isGranted)
+                    services.limiter.take(target, startedAt);
+            });
+}
+
+// The call ends work, so it goes to each target that can be reached, whatever holds new work back:
+// a hold-off, a limit, a cold target, one that leaves or whose zone is emptied.
 static void stopRun(RelayServices &services, const AbandonedRun &run,
                     RunStopper::Hooks::Callback callback)
 {
@@ -41,40 +57,57 @@
         });
         return;
     }
-    const auto call = [&services, run, callback = std::move(callback)](bool isGranted) {
-        const bool mayCall =
-                isGranted
-                && services.holdOffs.tryResume(run.target, run.startedAt, services.timers.now())
-                && services.limiter.take(run.target, run.startedAt);
-        if (!mayCall) {
-            services.timers.scheduleAfter(Duration::zero(), [callback] {
-                callback({RunStopResult::Refused, {}});
+    chargeCall(services, run);
+    services.fetcher.fetch(callOptions(run.endpoint),
+                           services.bindings.writeStop(run.id, run.destination), StopTimeout,
+                           [&services, sent = ownCall(services, run),
+                            callback = std::move(callback)](const FetchResult &result) {
+                               services.noteCallAnswer(sent, result.response);
+                               callback(readAnswer(services, result));
+                           });
+}
+
+static void logUnfreed(const CopyToFree &copy, const std::string &reason)
+{
+    logRequest(LogPart::Calls, LogLevel::Info, copy.request.text(),
+               "A copy named by " + copy.target.text() + " was not freed: " + reason);
+}
+
+static void callFree(RelayServices &services, const CopyToFree &copy)
+{
+    services.fetcher.fetch(
+            callOptions(copy.endpoint), services.bindings.writeDropCopy(copy.handle), StopTimeout,
+            [&services, copy,
+             sent = TargetSendNote{copy.target, copy.startedAt, services.timers.now(),
+                                   copy.request.text(), true}](const FetchResult &result) {
+                services.noteCallAnswer(sent, result.response);
+                if (!result.status.ok())
+                    logUnfreed(copy, std::string(result.status.message()));
             });
-            return;
-        }
-        services.fetcher.fetch(
-                callOptions(run), services.bindings.writeStop(run.id, run.destination), StopTimeout,
-                [&services, sent = ownCall(services, run), callback](const FetchResult &result) {
-                    services.noteCallAnswer(sent, result.response);
-                    callback(readAnswer(services, result));
-                });
-    };
-    services.limiter.request(run.target, run.startedAt, run.zone, GrantUse::First, call);
 }
 
-// A copy that is not freed ends by itself after a time.
-static void freeCopy(RelayServices &services, const AbandonedRun &run, const std::string &handle)
+// Unlike a run, a copy costs room alone, and ends by itself after a time. So the call waits until
+// the target takes calls again.
+void freeCopy(RelayServices &services, const CopyToFree &copy)
 {
-    if (services.targets.isEmptied(run.zone) || !services.limiter.take(run.target, run.startedAt))
+    const Duration heldOff =
+            services.holdOffs.remaining(copy.target, copy.startedAt, services.timers.now());
+    if (heldOff > MaxFreeDelay || services.targets.isEmptied(copy.zone)) {
+        logUnfreed(copy, "the target wants no calls");
         return;
-    services.fetcher.fetch(callOptions(run), services.bindings.writeDropCopy(handle), StopTimeout,
-                           [&services, sent = ownCall(services, run)](const FetchResult &result) {
-                               services.noteCallAnswer(sent, result.response);
-                               if (!result.status.ok())
-                                   logRequest(LogPart::Calls, LogLevel::Info, sent.request,
-                                              "The copy of a run stopped at " + sent.target.text()
-                                                      + " was not freed.");
-                           });
+    }
+    if (heldOff > Duration::zero()) {
+        services.timers.scheduleAfter(heldOff, [&services, copy] { freeCopy(services, copy); });
+        return;
+    }
+    services.limiter.request(copy.target, copy.startedAt, copy.zone, GrantUse::Repeat,
+                             [&services, copy](bool isGranted) {
+                                 if (isGranted
+                                     && services.limiter.take(copy.target, copy.startedAt))
+                                     callFree(services, copy);
+                                 else
+                                     logUnfreed(copy, "the target takes no further requests");
+                             });
 }
 
 RunStopper::Hooks runStopHooks(RelayServices &services)
@@ -84,7 +117,7 @@
         stopRun(services, run, std::move(callback));
     };
     hooks.freeCopy = [&services](const AbandonedRun &run, const std::string &handle) {
-        freeCopy(services, run, handle);
+        freeCopy(services, {run.id, run.target, run.startedAt, run.zone, run.endpoint, handle});
     };
     hooks.onEnded = [&services](const AbandonedRun &run, RunStopResult result) {
         const std::string name(runStopResultName(result));
--- a/src/daemon/tests/leftruntest.cpp
+++ b/src/daemon/tests/leftruntest.cpp
@@ -14,6 +14,7 @@
 
     std::unique_ptr<EntryFleet> fleet;
     EntryFleet::Tally tally;
+    EntryFleet::Tally others;
 
     void build(std::size_t nodes, std::uint64_t seed = 1)
     {
@@ -51,6 +52,23 @@
         fleet->run(1500ms);
     }
 
+    /// Has the engines chosen by \a isChosen turn away what all nodes send for a second, each for
+    /// a time that outlasts the streams.
+    void turnAllAwayAt(const std::function<bool(std::size_t)> &isChosen)
+    {
+        for (std::size_t i = 0; i < fleet->servers.size(); ++i) {
+            fleet->servers[i]->options.turnAwayShare = isChosen(i) ? 1 : 0;
+            fleet->servers[i]->options.holdOff = 12s;
+        }
+        for (int i = 0; i < 10; ++i) {
+            for (std::size_t node = 0; node < fleet->nodeCount(); ++node)
+                fleet->request(node, "POST", "/stream/x", "more " + std::to_string(i), others);
+            fleet->run(100ms);
+        }
+        for (const std::unique_ptr<SimServer> &server : fleet->servers)
+            server->options.turnAwayShare = 0;
+    }
+
     void checkAllServed()
     {
         fleet->run(20s);
@@ -95,6 +113,23 @@
     }
 }
 
+// Guards against a stop that waits for the end of the time for which its server wants no requests,
+// while the stream goes on elsewhere.
+TEST(LeftRuns, streamsThatMoveAwayFromHeldOffServersAreStoppedThere)
+{
+    for (const std::size_t nodes : {7U, 90U}) {
+        build(nodes);
+        startStreams("/stream/x");
+        turnAllAwayAt([](std::size_t server) { return server % 3 == 0; });
+        leaveThird();
+        fleet->run(20s);
+        LONGS_EQUAL(0, tally.disordered);
+        checkOverlaps();
+        for (const std::unique_ptr<SimServer> &server : fleet->servers)
+            CHECK(server->arrivalsWhileHeldOff(500ms) <= 2);
+    }
+}
+
 TEST(LeftRuns, refusedAndLostCallsToStopARunAreMadeAgain)
 {
     // Four calls in a row are refused for one run in a hundred.
@@ -123,6 +158,15 @@
     checkStoppedAfterResets("/stream/x");
 }
 
+// Guards against a stop that waits for a grant of a server that takes hardly any requests.
+TEST(LeftRuns, streamsResumedFromBackupsAreStoppedAtServersWithALimit)
+{
+    build(7);
+    for (std::size_t i = 0; i < 4; ++i)
+        fleet->servers[i]->setLimit(0.2);
+    checkStoppedAfterResets("/stream/x");
+}
+
 TEST(LeftRuns, streamsResumedWithoutACopyAreStoppedAtTheServerBefore)
 {
     build(7);
