RelaySession: a run is stopped also where no other server takes requests

What callers saw: nothing in their answers.

Cause: the call that stops a run has to name another server. endpointBeside() looked for one that may be sent requests, and the stop was left out where there was none. The holder of the backup was not found either, as the lost exchange is given up before the next one begins. Ruled out: hold-offs at the server itself, which had turned nothing away.

Change: the call names where the stream goes on, the holder of the backup, a server that takes work, any known server, or the node's own address, in this order. A run stops before its memory is copied, so the address need not be able to take anything.

Tests that failed before: LeftRuns.streamsResumedWhileAllServersAreHeldOffAreStopped (7 and 90 nodes), runsAreStoppedAtTheOnlyServerOfAService, runsAreStoppedWhileAllOtherServersLeave.

--- a/src/daemon/relaysession.h
+++ b/src/daemon/relaysession.h
@@ -166,7 +166,7 @@
     void abandon(std::uint64_t exchange);
     void release(const TargetExchange &exchange);
     void stopRun(const TargetExchange &exchange);
-    std::optional<Endpoint> endpointBeside(const TargetId &target) const;
+    Endpoint endpointBeside(const TargetExchange &exchange) const;
     void notePart(std::uint64_t exchange);
     void noteFirstPart(const TargetExchange &exchange);
     void timeEvents(std::uint64_t exchange);
--- a/src/daemon/relaysessioncopies.cpp
+++ b/src/daemon/relaysessioncopies.cpp
@@ -138,29 +138,28 @@
     const bool canStop = service && service->engine && service->engine->supportsMoves;
     if (!exchange.wasSent || exchange.isRunOver || !canStop)
         return;
-    const std::optional<Endpoint> destination = endpointBeside(exchange.target);
-    if (!destination) {
-        logRequest(LogPart::Calls, LogLevel::Info, m_caller.id.text(),
-                   "The run left at " + exchange.target.text()
-                           + " is not stopped: there is no other target.");
-        return;
-    }
     m_services.stopRun({m_caller.id, exchange.target, exchange.incarnation, exchange.endpoint,
-                        exchange.zone, *destination});
+                        exchange.zone, endpointBeside(exchange)});
 }
 
-// The target where the stream goes on, if any, has the room for a copy already.
-std::optional<Endpoint> RelaySession::endpointBeside(const TargetId &target) const
+// The call that stops a run has to name another address, to which the run's memory is copied after
+// the run has stopped. The target where the stream goes on, or that has a backup of it, has the
+// room already. Without room, or without a target there, the run is stopped all the same.
+Endpoint RelaySession::endpointBeside(const TargetExchange &exchange) const
 {
-    for (const auto &[number, exchange] : m_exchanges) {
-        if (exchange.target != target)
-            return exchange.endpoint;
+    for (const auto &[number, other] : m_exchanges) {
+        if (other.target != exchange.target)
+            return other.endpoint;
     }
-    const ServiceTarget *const other =
-            m_services.choose(m_service, {target}, m_services.settings.zone, 0);
+    const ServiceTarget *const backup =
+            exchange.backup ? m_services.targets.find(*exchange.backup) : nullptr;
+    if (backup && backup->entry.endpoint != exchange.endpoint)
+        return backup->entry.endpoint;
+    const ServiceTarget *other =
+            m_services.choose(m_service, {exchange.target}, m_services.settings.zone, 0);
     if (!other)
-        return std::nullopt;
-    return other->entry.endpoint;
+        other = m_services.targets.findOther(m_service, exchange.endpoint);
+    return other ? other->entry.endpoint : m_services.settings.callers;
 }
 
 // The call outlives the request.
--- a/src/daemon/tests/leftruntest.cpp
+++ b/src/daemon/tests/leftruntest.cpp
@@ -16,7 +16,7 @@
     EntryFleet::Tally tally;
     EntryFleet::Tally others;
 
-    void build(std::size_t nodes, std::uint64_t seed = 1)
+    void build(std::size_t nodes, std::uint64_t seed = 1, std::size_t engines = 12)
     {
         fleet.reset();
         tally = {};
@@ -24,7 +24,7 @@
         options.nodes = nodes;
         options.seed = seed;
         options.zones = std::max<std::size_t>(3, nodes / 12);
-        options.generationServers = std::max<std::size_t>(12, nodes);
+        options.generationServers = engines == 1 ? 1 : std::max(engines, nodes);
         options.plainServers = options.zones;
         fleet = std::make_unique<EntryFleet>(options);
         forEachEngine([](SimServer::Options &server) {
@@ -93,6 +93,22 @@
         checkOverlaps();
     }
 
+    /// Whether at least \a least runs had begun and all end when their callers leave.
+    void checkStoppedAfterCallersLeft(std::size_t least)
+    {
+        const TimePoint leftAt = fleet->timers.now();
+        fleet->closeCallers();
+        fleet->run(20s);
+        std::size_t runs = 0;
+        for (const std::unique_ptr<SimServer> &server : fleet->servers) {
+            for (const SimRun &run : server->runs()) {
+                ++runs;
+                CHECK(run.endedAt && *run.endedAt <= leftAt + 500ms);
+            }
+        }
+        CHECK(runs >= least);
+    }
+
     void leaveThird()
     {
         for (std::size_t i = 0; i < fleet->servers.size(); i += 3) {
@@ -130,6 +146,21 @@
     }
 }
 
+// Guards against a stop that is not made because no other server takes requests.
+TEST(LeftRuns, streamsResumedWhileAllServersAreHeldOffAreStopped)
+{
+    for (const std::size_t nodes : {7U, 90U}) {
+        build(nodes);
+        startStreams("/stream/x");
+        turnAllAwayAt([](std::size_t) { return true; });
+        for (std::size_t i = 0; i < 4; ++i)
+            fleet->servers[i]->resetConnections();
+        fleet->run(20s);
+        LONGS_EQUAL(0, tally.disordered);
+        checkOverlaps();
+    }
+}
+
 TEST(LeftRuns, refusedAndLostCallsToStopARunAreMadeAgain)
 {
     // Four calls in a row are refused for one run in a hundred.
@@ -193,15 +224,24 @@
 {
     build(7);
     startStreams("/stream/x");
-    const TimePoint leftAt = fleet->timers.now();
-    fleet->closeCallers();
-    fleet->run(20s);
-    std::size_t runs = 0;
-    for (const std::unique_ptr<SimServer> &server : fleet->servers) {
-        for (const SimRun &run : server->runs()) {
-            ++runs;
-            CHECK(run.endedAt && *run.endedAt <= leftAt + 500ms);
-        }
-    }
-    CHECK(runs >= 3 * fleet->nodeCount());
+    checkStoppedAfterCallersLeft(3 * fleet->nodeCount());
+}
+
+// Guards against a stop that is not made because its call has to name another server.
+TEST(LeftRuns, runsAreStoppedAtTheOnlyServerOfAService)
+{
+    build(7, 1, 1);
+    // Room for some of the streams.
+    startStreams("/stream/x");
+    checkStoppedAfterCallersLeft(fleet->nodeCount());
+}
+
+TEST(LeftRuns, runsAreStoppedWhileAllOtherServersLeave)
+{
+    build(7);
+    startStreams("/stream/x");
+    for (std::size_t i = 1; i < 12; ++i)
+        fleet->servers[i]->leave();
+    fleet->run(100ms);
+    checkStoppedAfterCallersLeft(3 * fleet->nodeCount());
 }
--- a/src/targets/servicetargets.cpp
+++ b/src/targets/servicetargets.cpp
@@ -216,6 +216,22 @@
             }));
 }
 
+const ServiceTarget *ServiceTargets::findOther(const std::string &service,
+                                               const Endpoint &target) const
+{
+    // Higher is better.
+    const auto rank = [this, &service](const ServiceTarget &each) {
+        return (each.entry.service == service ? 4 : 0)
+               + (each.phase != TargetPhase::Leaving ? 2 : 0) + (isEmptied(each) ? 0 : 1);
+    };
+    const ServiceTarget *best = nullptr;
+    for (const auto &[id, each] : m_targets) {
+        if (each.entry.endpoint != target && (!best || rank(each) > rank(*best)))
+            best = &each;
+    }
+    return best;
+}
+
 const ServiceTarget *ServiceTargets::find(const TargetId &id) const
 {
     const auto it = m_targets.find(id);
--- a/src/targets/tests/servicetargetstest.cpp
+++ b/src/targets/tests/servicetargetstest.cpp
@@ -191,3 +191,27 @@
     targets.expire();
     LONGS_EQUAL(0, usable());
 }
+
+TEST(ServiceTargets, findsAnotherTargetAlsoWhereNoneTakesWork)
+{
+    const auto add = [this](const char *id, const char *service, std::uint16_t port,
+                            bool isLeaving) {
+        TargetEntry added = entry(isLeaving);
+        added.service = std::string(service);
+        added.endpoint.port = port;
+        targets.update(TargetId(id), added);
+        return added.endpoint;
+    };
+    const auto found = [this](const Endpoint &beside) {
+        const ServiceTarget *const other = targets.findOther("s", beside);
+        return other ? other->id.text() : std::string();
+    };
+    const Endpoint own = add("own", "s", 1, false);
+    STRCMP_EQUAL("", found(own).c_str());
+    add("of another service", "t", 2, false);
+    STRCMP_EQUAL("of another service", found(own).c_str());
+    add("leaving", "s", 3, true);
+    STRCMP_EQUAL("leaving", found(own).c_str());
+    add("ready", "s", 4, false);
+    STRCMP_EQUAL("ready", found(own).c_str());
+}
