RelayCall: a lost stream goes on when its run can be ended

What callers saw: nothing in their answers. A server was emptied, and the connection of a stream was lost while its run was being copied away.

Cause: a server answers 409 to the call that stops a run as long as a call for a copy of it is in progress. resumeFromBackup() did not take that into account, and RunStopper doubled its pauses after each 409 and gave up after eight. Ruled out: hold-offs and the address that the call names (the calls reached the server).

Change: a lost stream with a call for a copy that may be in progress waits until the copy is complete, its call is refused, or the run is over; the call that stops the run is made at once, and repeated every 100 ms while the server is busy with the run. A copy is freed under the name of the server that made it, also when its request has ended meanwhile.

Tests that failed before: LeftRuns.streamsLostWhileTheyAreCopiedGoOnWhenTheirRunsCanBeStopped (7 and 90 nodes, copies of 0.1 to 3 s) and runsBeingCopiedAreStoppedSoonAfterTheirCallersHaveLeft, RunStopper.aBusyTargetIsCalledAgainSoon and aTargetThatStaysBusyIsGivenUp. SimServer copies take time, during which it answers 409.

RequestCodec reads 409 as busy in place of refused.

--- a/src/calls/relaycall.cpp
+++ b/src/calls/relaycall.cpp
@@ -319,7 +319,7 @@
             status.ok() ? makeError(ErrorCode::ConnectionLost, "the answer is incomplete") : status;
     if (errorCode(failure) == ErrorCode::ConnectionLost)
         m_hooks.reportLost(exchange);
-    if (m_resumeExchange == 0 && resumeFromBackup(failure))
+    if (m_resumeExchange == 0 && (endRunFirst(failure) || resumeFromBackup(failure)))
         return;
     if (m_pendingMove != 0 || m_resumeExchange != 0)
         onSourceLost(failure);
@@ -352,7 +352,7 @@
     m_hooks.report(m_target, SendResult::Failed);
     m_excluded.push_back(m_target);
     if (m_isForwarding) {
-        if (!resumeFromBackup(status) && !resumeWithoutCopy(status))
+        if (!endRunFirst(status) && !resumeFromBackup(status) && !resumeWithoutCopy(status))
             abortAnswer(status);
         return;
     }
--- a/src/calls/relaycall.h
+++ b/src/calls/relaycall.h
@@ -55,7 +55,8 @@
 struct StreamCopy
 {
     TargetId holder;       ///< Target that stores the copy and can resume the stream.
-    Endpoint handleIssuer; ///< Endpoint of the target that issued the handle.
+    TargetId issuer;       ///< Target that issued the handle.
+    Endpoint handleIssuer; ///< Endpoint of the issuer.
     std::string handle;
     bool isBackup = false; ///< Maintained while the stream ran; freed when the run ends.
 };
@@ -116,6 +117,8 @@
     std::function<std::optional<StreamCopy>(const TargetId &holder)> findBackup;
     /// Closes the exchange's connection.
     std::function<void(std::uint64_t exchange)> abandon;
+    /// Closes the exchange's connection and ends its run. onRunReleased() follows.
+    std::function<void(std::uint64_t exchange)> endRun;
     /// Notes that the call holds \a bytes of answers. Returns whether it may.
     std::function<bool(std::size_t bytes)> holdBytes;
     /// Forwards the head of the answer of \a exchange.
@@ -141,7 +144,7 @@
     std::function<void(std::uint64_t move, const TargetId &source, const TargetId &destination)>
             requestCopy;
     /// Frees a copy that is no longer needed.
-    std::function<void(const TargetId &source, const StreamCopy &copy)> freeCopy;
+    std::function<void(const StreamCopy &copy)> freeCopy;
     /// Reports that another target now has the address of \a target.
     std::function<void(const TargetId &target)> reportTargetReplaced;
 };
@@ -179,8 +182,13 @@
     void onEnd(std::uint64_t exchange, const absl::Status &status, bool wasSent);
     /// Called when the current target no longer accepts work and will stop within a second or two.
     void onTargetLeaving();
-    /// Called when the copy requested as \a move is complete or has failed.
-    void onCopyResult(std::uint64_t move, const absl::StatusOr<StreamCopy> &copy);
+    /// Called when the copy requested as \a move is complete or has failed. Without \a isCallOver
+    /// the target may still be making it.
+    void onCopyResult(std::uint64_t move, const absl::StatusOr<StreamCopy> &copy,
+                      bool isCallOver = true);
+    /// Called when the run of \a exchange, which was to be ended, is over, can't be reached, or
+    /// can't be ended.
+    void onRunReleased(std::uint64_t exchange);
     void onCallerGone();
     /// Called when the node is about to stop. Fails the request, or
     /// aborts an answer whose head has been forwarded.
@@ -211,6 +219,8 @@
     bool isMovable() const;
     void beginMove();
     void resumeFrom(const StreamCopy &copy);
+    bool endRunFirst(const absl::Status &reason);
+    bool mayResumeElsewhere() const;
     bool resumeFromBackup(const absl::Status &reason);
     bool resumeWithoutCopy(const absl::Status &reason);
     void onResumeNotRun();
@@ -260,6 +270,8 @@
     absl::Status m_sourceFailure;
     std::uint32_t m_moves = 0;
     std::uint64_t m_pendingMove = 0;    ///< Copy in progress; 0 if there is none.
+    std::uint32_t m_openCopyCalls = 0;  ///< Calls for copies that the target may be working on.
+    std::uint64_t m_endingExchange = 0; ///< Whose run has to end before the stream resumes; or 0.
     std::uint64_t m_resumeExchange = 0; ///< Exchange that is to resume the stream; 0 if none.
     std::optional<StreamCopy> m_copy;
     std::vector<TargetId> m_triedDestinations; ///< Tried for a copy or a resume of this stream.
--- a/src/calls/relaycallmoves.cpp
+++ b/src/calls/relaycallmoves.cpp
@@ -12,8 +12,8 @@
 
 bool RelayCall::isMovable() const
 {
-    return m_state == RelayState::Answering && m_isForwarding && m_lastEvent && m_pendingMove == 0
-           && m_resumeExchange == 0 && m_moves < MaxMoves;
+    return m_state == RelayState::Answering && m_isForwarding && m_lastEvent && !m_isSourceLost
+           && m_pendingMove == 0 && m_resumeExchange == 0 && m_moves < MaxMoves;
 }
 
 // The copy is made while the stream continues. A stream without an event has not started to run, so
@@ -30,26 +30,68 @@
     }
     m_pendingMove = ++m_lastExchange;
     ++m_moves;
+    ++m_openCopyCalls;
     m_triedDestinations.push_back(*destination);
     m_hooks.requestCopy(m_pendingMove, m_target, *destination);
 }
 
-void RelayCall::onCopyResult(std::uint64_t move, const absl::StatusOr<StreamCopy> &copy)
+void RelayCall::onCopyResult(std::uint64_t move, const absl::StatusOr<StreamCopy> &copy,
+                             bool isCallOver)
 {
     if (move != m_pendingMove || isSettled()) {
         if (copy.ok())
-            m_hooks.freeCopy(m_target, *copy);
+            m_hooks.freeCopy(*copy);
         return;
     }
     m_pendingMove = 0;
+    // A target makes one copy of a run at a time, so one that is complete was the last.
+    if (copy.ok())
+        m_openCopyCalls = 0;
+    else if (isCallOver)
+        --m_openCopyCalls;
     if (copy.ok()) {
+        m_endingExchange = 0;
         resumeFrom(*copy);
         return;
     }
-    if (m_isSourceLost)
-        onUnusableAnswer(m_sourceFailure);
-    else
+    if (!m_isSourceLost) {
         beginMove();
+        return;
+    }
+    if (m_endingExchange != 0 && m_openCopyCalls > 0)
+        return;
+    m_endingExchange = 0;
+    onUnusableAnswer(m_sourceFailure);
+}
+
+// A target can't end a run while it copies it, and a stream must not go on elsewhere beside a run
+// that can't be ended. The copy in progress, if it is complete first, is the shorter way on.
+bool RelayCall::endRunFirst(const absl::Status &reason)
+{
+    if (m_openCopyCalls == 0 || m_exchange == 0 || !m_isForwarding || !mayResumeElsewhere())
+        return false;
+    m_isSourceLost = true;
+    m_sourceFailure = reason;
+    m_events.reset();
+    m_endingExchange = std::exchange(m_exchange, 0);
+    m_hooks.endRun(m_endingExchange);
+    return true;
+}
+
+bool RelayCall::mayResumeElsewhere() const
+{
+    return m_lastEvent && (m_backup || m_request.rule == RetrySemantics::ResumableStream);
+}
+
+void RelayCall::onRunReleased(std::uint64_t exchange)
+{
+    if (isSettled() || exchange != m_endingExchange || exchange == 0)
+        return;
+    m_endingExchange = 0;
+    if (resumeFromBackup(m_sourceFailure) || resumeWithoutCopy(m_sourceFailure))
+        return;
+    if (m_pendingMove == 0)
+        abortAnswer(m_sourceFailure);
 }
 
 // The events of the old target are buffered until the new target has resumed the stream. If that
@@ -69,8 +111,8 @@
     m_hooks.send({m_resumeExchange, copy.holder, StreamResume{copy, *m_lastEvent}, m_nextBackup});
 }
 
-// Called when the target failed without prior notice. A copy in progress is given up, because only
-// the failed target could report its completion.
+// Called when the target failed without prior notice. No copy of the run is in progress any more,
+// or the run is over.
 bool RelayCall::resumeFromBackup(const absl::Status &reason)
 {
     const std::optional<TargetId> holder = std::exchange(m_backup, std::nullopt);
@@ -139,6 +181,7 @@
     m_moves = 0;
     m_isTargetLeaving = false;
     m_isSourceLost = false;
+    m_openCopyCalls = 0;
 }
 
 void RelayCall::onResumeFailed(const absl::Status &status)
@@ -174,7 +217,7 @@
 {
     const std::optional<StreamCopy> copy = std::exchange(m_copy, std::nullopt);
     if (copy && !copy->isBackup)
-        m_hooks.freeCopy(m_target, *copy);
+        m_hooks.freeCopy(*copy);
 }
 
 } // namespace currantwalk
--- a/src/calls/runstopper.cpp
+++ b/src/calls/runstopper.cpp
@@ -7,9 +7,10 @@
 
 namespace currantwalk {
 
-static constexpr std::array<EnumName<RunStopResult>, 5> RunStopResultNames{{
+static constexpr std::array<EnumName<RunStopResult>, 6> RunStopResultNames{{
         {RunStopResult::Stopped, "stopped"},
         {RunStopResult::NoSuchRun, "no-such-run"},
+        {RunStopResult::Busy, "busy"},
         {RunStopResult::Refused, "refused"},
         {RunStopResult::Unreachable, "unreachable"},
         {RunStopResult::Unknown, "unknown"},
@@ -38,10 +39,23 @@
 }
 
 void RunStopper::add(AbandonedRun run)
+{
+    add(std::move(run), CloseNoticeTime, nullptr);
+}
+
+void RunStopper::addUrgent(AbandonedRun run, std::function<void()> onReleased)
+{
+    add(std::move(run), Duration::zero(), std::move(onReleased));
+}
+
+void RunStopper::add(AbandonedRun run, Duration delay, std::function<void()> onReleased)
 {
     const std::uint64_t number = ++m_lastNumber;
-    m_runs[number].run = std::move(run);
-    schedule(number, CloseNoticeTime);
+    Entry &entry = m_runs[number];
+    entry.run = std::move(run);
+    entry.addedAt = m_timers.now();
+    entry.onReleased = std::move(onReleased);
+    schedule(number, delay);
 }
 
 void RunStopper::cancel(const RequestId &id, const TargetId &target)
@@ -66,8 +80,7 @@
 
 void RunStopper::call(std::uint64_t number)
 {
-    Entry &entry = m_runs.at(number);
-    ++entry.calls;
+    const Entry &entry = m_runs.at(number);
     m_hooks.stopRun(entry.run,
                     [this, alive = m_alive, run = entry.run, number](const RunStopAnswer &answer) {
                         if (!*alive)
@@ -84,16 +97,43 @@
     const auto it = m_runs.find(number);
     if (it == m_runs.end())
         return;
-    const bool isOver =
-            answer.result == RunStopResult::Stopped || answer.result == RunStopResult::NoSuchRun;
-    if (!isOver && it->second.calls < MaxCalls) {
-        schedule(number, RetryGap * (1U << (it->second.calls - 1)));
-        return;
+    if (answer.result != RunStopResult::Busy)
+        ++it->second.failedCalls;
+    const std::optional<Duration> next = timeToNextCall(it->second, answer.result);
+    std::function<void()> onReleased;
+    if (!next || answer.result == RunStopResult::Unreachable)
+        onReleased = std::exchange(it->second.onReleased, nullptr);
+    if (next) {
+        schedule(number, *next);
+    } else {
+        const AbandonedRun run = std::move(it->second.run);
+        m_runs.erase(it);
+        if (m_hooks.onEnded)
+            m_hooks.onEnded(run, answer.result);
+    }
+    if (onReleased)
+        onReleased();
+}
+
+// Returns nothing if no further call is made.
+std::optional<Duration> RunStopper::timeToNextCall(const Entry &entry, RunStopResult result) const
+{
+    switch (result) {
+    case RunStopResult::Stopped:
+    case RunStopResult::NoSuchRun:
+        return std::nullopt;
+    case RunStopResult::Busy:
+        if (m_timers.now() - entry.addedAt >= MaxBusyTime)
+            return std::nullopt;
+        return BusyGap;
+    case RunStopResult::Refused:
+    case RunStopResult::Unreachable:
+    case RunStopResult::Unknown:
+        break;
     }
-    const AbandonedRun run = std::move(it->second.run);
-    m_runs.erase(it);
-    if (m_hooks.onEnded)
-        m_hooks.onEnded(run, answer.result);
+    if (entry.failedCalls >= MaxCalls)
+        return std::nullopt;
+    return RetryGap * (1U << (entry.failedCalls - 1));
 }
 
 } // namespace currantwalk
--- a/src/calls/runstopper.h
+++ b/src/calls/runstopper.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/endpoint.h"
@@ -28,12 +29,13 @@
 enum class RunStopResult {
     Stopped,
     NoSuchRun,
+    Busy,        ///< Not before an earlier call on the run is over; the run continues.
     Refused,     ///< Not now; the run may continue.
     Unreachable, ///< No connection could be opened.
     Unknown,     ///< The call may have been carried out.
 };
 
-/// Returns "stopped", "no-such-run", "refused", "unreachable" or "unknown".
+/// Returns "stopped", "no-such-run", "busy", "refused", "unreachable" or "unknown".
 std::string_view runStopResultName(RunStopResult result);
 
 struct RunStopAnswer
@@ -44,7 +46,8 @@
 
 /// Stops runs that targets continue after the connection of their request has been closed. A target
 /// has some time to end the run by itself; then it is told to, until it says that there is no such
-/// run, or a number of calls has failed.
+/// run, or a number of calls has failed. A run that is being copied can't be stopped before the
+/// copy is complete.
 class RunStopper
 {
 public:
@@ -52,7 +55,12 @@
     static constexpr Duration CloseNoticeTime = std::chrono::milliseconds(100);
     /// Time from a call that failed to the next; doubled after each.
     static constexpr Duration RetryGap = std::chrono::milliseconds(50);
+    /// Number of calls that are refused, are lost or do not reach their target.
     static constexpr std::uint32_t MaxCalls = 8;
+    /// Time between calls while the target is busy with the run.
+    static constexpr Duration BusyGap = std::chrono::milliseconds(100);
+    /// Longest time for which a target may be busy with the run.
+    static constexpr Duration MaxBusyTime = std::chrono::seconds(30);
 
     struct Hooks
     {
@@ -71,6 +79,9 @@
     RunStopper &operator=(const RunStopper &) = delete;
 
     void add(AbandonedRun run);
+    /// Makes the first call at once, since something waits for the end of the run. Calls \a
+    /// onReleased once: when the run has ended, can't be reached, or goes on in spite of all calls.
+    void addUrgent(AbandonedRun run, std::function<void()> onReleased);
     /// Called when the request \a id is about to be sent to \a target again. A stop would end the
     /// new run.
     void cancel(const RequestId &id, const TargetId &target);
@@ -81,15 +92,19 @@
     struct Entry
     {
         AbandonedRun run;
-        std::uint32_t calls = 0;
+        TimePoint addedAt{};
+        std::function<void()> onReleased{};
+        std::uint32_t failedCalls = 0;
         TimerId timer = NoTimer;
     };
 
     RunStopper(Hooks hooks, TimerService &timers);
 
+    void add(AbandonedRun run, Duration delay, std::function<void()> onReleased);
     void schedule(std::uint64_t number, Duration delay);
     void call(std::uint64_t number);
     void onAnswer(std::uint64_t number, const RunStopAnswer &answer);
+    std::optional<Duration> timeToNextCall(const Entry &entry, RunStopResult result) const;
 
     const Hooks m_hooks;
     TimerService &m_timers;
--- a/src/calls/tests/relaycalltest.cpp
+++ b/src/calls/tests/relaycalltest.cpp
@@ -26,6 +26,7 @@
     std::deque<TargetId> targets{TargetId("a"), TargetId("b"), TargetId("c")};
     std::vector<RelaySend> sent;
     std::set<std::uint64_t> abandoned;
+    std::vector<std::uint64_t> ending; ///< Exchanges whose runs are to be ended.
     std::vector<std::pair<std::uint64_t, TargetId>> copies; ///< Move and destination.
     std::vector<StreamCopy> dropped;
     std::vector<TargetId> replaced;
@@ -55,9 +56,10 @@
         hooks.findBackup = [this](const TargetId &holder) -> std::optional<StreamCopy> {
             if (!isBackupAvailable)
                 return std::nullopt;
-            return StreamCopy{holder, {"10.0.0.2", 80}, "r", true};
+            return StreamCopy{holder, holder, {"10.0.0.2", 80}, "r", true};
         };
         hooks.abandon = [this](std::uint64_t exchange) { abandoned.insert(exchange); };
+        hooks.endRun = [this](std::uint64_t exchange) { ending.push_back(exchange); };
         hooks.holdBytes = [this](std::size_t bytes) {
             heldBytes = bytes;
             return bytes <= maxHeldBytes;
@@ -78,9 +80,7 @@
                                    const TargetId &destination) {
             copies.emplace_back(move, destination);
         };
-        hooks.freeCopy = [this](const TargetId &, const StreamCopy &copy) {
-            dropped.push_back(copy);
-        };
+        hooks.freeCopy = [this](const StreamCopy &copy) { dropped.push_back(copy); };
         hooks.reportTargetReplaced = [this](const TargetId &target) { replaced.push_back(target); };
         return hooks;
     }
@@ -153,7 +153,7 @@
     /// Completes the copy under way and returns it.
     StreamCopy completeCopy()
     {
-        const StreamCopy copy{copies.back().second, {"10.0.0.1", 80}, "h1"};
+        const StreamCopy copy{copies.back().second, TargetId("a"), {"10.0.0.1", 80}, "h1"};
         call->onCopyResult(copies.back().first, copy);
         return copy;
     }
@@ -444,22 +444,100 @@
     LONGS_EQUAL(1, aborts);
 }
 
-// Only the lost target could have reported that the copy is complete.
-TEST(RelayCall, backupReplacesCopyInProgress)
+TEST(RelayCall, backupReplacesCopyInProgressOnceTheRunHasEnded)
 {
     isBackupOffered = true;
     beginStream();
     call->onTargetLeaving();
     call->onEnd(sent[0].exchange, lost(), true);
+    LONGS_EQUAL(1, ending.size());
+    LONGS_EQUAL(1, sent.size());
+    call->onRunReleased(ending[0]);
     LONGS_EQUAL(2, sent.size());
     STRCMP_EQUAL("r", sent[1].resume->copy->handle.c_str());
     completeCopy();
     LONGS_EQUAL(1, dropped.size());
+    STRCMP_EQUAL("a", dropped[0].issuer.text().c_str());
     call->onHead(sent[1].exchange, success());
     answerCompletely(sent[1].exchange, event(3));
     LONGS_EQUAL(1, ends);
 }
 
+// Guards against a stream that goes on beside a run that can't be ended while it is being copied.
+TEST(RelayCall, lostStreamWaitsForItsCopyOrTheEndOfItsRun)
+{
+    isBackupOffered = true;
+    beginStream();
+    call->onTargetLeaving();
+    call->onEnd(sent[0].exchange, lost(), true);
+    timers.advance(3s);
+    LONGS_EQUAL(1, sent.size());
+    completeCopy();
+    LONGS_EQUAL(2, sent.size());
+    CHECK(!sent[1].resume->copy->isBackup);
+    // Too late to matter.
+    call->onRunReleased(ending[0]);
+    LONGS_EQUAL(2, sent.size());
+    answerCompletely(sent[1].exchange, event(3));
+    LONGS_EQUAL(1, ends);
+}
+
+TEST(RelayCall, lostStreamGoesOnFromItsBackupWhenItsCopyIsRefused)
+{
+    isBackupOffered = true;
+    beginStream();
+    call->onTargetLeaving();
+    call->onEnd(sent[0].exchange, lost(), true);
+    call->onCopyResult(copies[0].first, makeError(ErrorCode::TargetRefused, "no room"));
+    LONGS_EQUAL(2, sent.size());
+    CHECK(sent[1].resume->copy->isBackup);
+}
+
+// The target may go on with a copy whose call has timed out.
+TEST(RelayCall, lostStreamWaitsForTheEndOfItsRunWhenItsCopyIsLost)
+{
+    isBackupOffered = true;
+    targets = {TargetId("a"), TargetId("b")};
+    beginStream();
+    call->onTargetLeaving();
+    call->onCopyResult(copies[0].first, makeError(ErrorCode::DeadlineExceeded, "late"), false);
+    LONGS_EQUAL(1, copies.size());
+    call->onEnd(sent[0].exchange, lost(), true);
+    LONGS_EQUAL(1, sent.size());
+    call->onTargetLeaving();
+    LONGS_EQUAL(1, copies.size());
+    call->onRunReleased(ending.at(0));
+    LONGS_EQUAL(2, sent.size());
+}
+
+TEST(RelayCall, resumableStreamWaitsForTheEndOfItsRunWhileItIsCopied)
+{
+    begin(RetrySemantics::ResumableStream, 2);
+    call->onHead(1, success());
+    call->onBody(1, event(1));
+    call->onTargetLeaving();
+    call->onEnd(1, lost(), true);
+    LONGS_EQUAL(1, sent.size());
+    call->onCopyResult(copies[0].first, makeError(ErrorCode::ConnectionLost, "reset"), false);
+    LONGS_EQUAL(1, sent.size());
+    call->onRunReleased(ending.at(0));
+    LONGS_EQUAL(2, sent.size());
+    CHECK(!sent[1].resume->copy);
+}
+
+TEST(RelayCall, callerMayLeaveWhileTheEndOfARunIsAwaited)
+{
+    isBackupOffered = true;
+    beginStream();
+    call->onTargetLeaving();
+    call->onEnd(sent[0].exchange, lost(), true);
+    call->onCallerGone();
+    call->onRunReleased(ending[0]);
+    LONGS_EQUAL(1, sent.size());
+    completeCopy();
+    LONGS_EQUAL(1, dropped.size());
+}
+
 TEST(RelayCall, resumedStreamWithGapIsAborted)
 {
     beginStream();
--- a/src/calls/tests/runstoppertest.cpp
+++ b/src/calls/tests/runstoppertest.cpp
@@ -81,6 +81,69 @@
     LONGS_EQUAL(0, stopper->size());
 }
 
+// Guards against a run that goes on after its copy is complete, as calls have become rare by then.
+TEST(RunStopper, aBusyTargetIsCalledAgainSoon)
+{
+    stopper->add(run());
+    timers.advance(RunStopper::CloseNoticeTime);
+    for (std::uint32_t i = 0; i < 3 * RunStopper::MaxCalls; ++i) {
+        LONGS_EQUAL(i + 1, calls.size());
+        calls[i]({RunStopResult::Busy, {}});
+        timers.advance(RunStopper::BusyGap);
+    }
+    calls.back()({RunStopResult::Stopped, {}});
+    CHECK(ends.at(0) == RunStopResult::Stopped);
+}
+
+TEST(RunStopper, aTargetThatStaysBusyIsGivenUp)
+{
+    stopper->add(run());
+    for (int i = 0; i < 1000 && ends.empty(); ++i) {
+        timers.advance(RunStopper::BusyGap);
+        calls.back()({RunStopResult::Busy, {}});
+    }
+    CHECK(ends.at(0) == RunStopResult::Busy);
+    CHECK(calledAt.back() - calledAt.front() >= RunStopper::MaxBusyTime - 1s);
+}
+
+TEST(RunStopper, anUrgentCallIsMadeAtOnceAndTellsOnceThatTheRunIsReleased)
+{
+    for (const RunStopResult result :
+         {RunStopResult::Stopped, RunStopResult::NoSuchRun, RunStopResult::Unreachable}) {
+        int released = 0;
+        calls.clear();
+        stopper->addUrgent(run(), [&released] { ++released; });
+        timers.advance(1ms);
+        LONGS_EQUAL(1, calls.size());
+        for (const RunStopResult open :
+             {RunStopResult::Busy, RunStopResult::Refused, RunStopResult::Unknown}) {
+            calls.back()({open, {}});
+            LONGS_EQUAL(0, released);
+            timers.advance(1s);
+        }
+        calls.back()({result, {}});
+        LONGS_EQUAL(1, released);
+        timers.advance(1s);
+        // A target that can't be reached is called further.
+        if (result == RunStopResult::Unreachable)
+            calls.back()({RunStopResult::NoSuchRun, {}});
+        LONGS_EQUAL(1, released);
+        LONGS_EQUAL(0, stopper->size());
+    }
+}
+
+TEST(RunStopper, aRunThatCannotBeEndedIsReleased)
+{
+    int released = 0;
+    stopper->addUrgent(run(), [&released] { ++released; });
+    for (std::uint32_t i = 0; i < RunStopper::MaxCalls; ++i) {
+        LONGS_EQUAL(0, released);
+        timers.advance(30s);
+        calls.back()({RunStopResult::Refused, {}});
+    }
+    LONGS_EQUAL(1, released);
+}
+
 TEST(RunStopper, aCopyMadeByACallThatCameTooLateIsFreed)
 {
     stopper->add(run());
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -313,6 +313,9 @@
                 noteCallAnswer(send, response);
             },
             [this](AbandonedRun run) { m_runStopper->add(std::move(run)); },
+            [this](AbandonedRun run, std::function<void()> onReleased) {
+                m_runStopper->addUrgent(std::move(run), std::move(onReleased));
+            },
             [this](const RequestId &id, const TargetId &target) {
                 m_runStopper->cancel(id, target);
             },
--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -99,10 +99,9 @@
     };
     hooks.requestCopy = [this](std::uint64_t move, const TargetId &source,
                                const TargetId &destination) { copy(move, source, destination); };
-    hooks.freeCopy = [this](const TargetId &source, const StreamCopy &copy) {
-        freeCopy(source, copy);
-    };
+    hooks.freeCopy = [this](const StreamCopy &copy) { freeCopy(copy); };
     hooks.abandon = [this](std::uint64_t exchange) { abandon(exchange); };
+    hooks.endRun = [this](std::uint64_t exchange) { endRun(exchange); };
     hooks.forwardHead = [this](std::uint64_t exchange) { forwardHead(exchange); };
     hooks.holdBytes = [this](std::size_t bytes) { return m_heldBytes.resize(bytes); };
     hooks.forwardBody = [this](std::string_view bytes) { forwardBody(bytes); };
@@ -488,14 +487,40 @@
            > Duration::zero();
 }
 
-// The exchange is dropped in the loop's next round, since this may be called from its callback.
 void RelaySession::abandon(std::uint64_t exchange)
+{
+    const auto it = m_exchanges.find(exchange);
+    if (it == m_exchanges.end())
+        return;
+    if (mayRunOn(it->second))
+        m_services.stopRun(abandonedRun(it->second));
+    close(exchange);
+}
+
+// The hook that asks for the end of a run may not call back into the call.
+void RelaySession::endRun(std::uint64_t exchange)
+{
+    const auto onReleased = [this, alive = m_alive, exchange] {
+        if (!*alive)
+            return;
+        m_call->onRunReleased(exchange);
+        finishIfSettled();
+    };
+    const auto it = m_exchanges.find(exchange);
+    if (it != m_exchanges.end() && mayRunOn(it->second))
+        m_services.stopRunAtOnce(abandonedRun(it->second), onReleased);
+    else
+        m_services.timers.scheduleAfter(Duration::zero(), onReleased);
+    close(exchange);
+}
+
+// The exchange is dropped in the loop's next round, since this may be called from its callback.
+void RelaySession::close(std::uint64_t exchange)
 {
     const auto it = m_exchanges.find(exchange);
     if (it == m_exchanges.end())
         return;
     release(it->second);
-    stopRun(it->second);
     std::shared_ptr<HttpCall> call = std::move(it->second.call);
     m_exchanges.erase(it);
     if (call)
--- a/src/daemon/relaysession.h
+++ b/src/daemon/relaysession.h
@@ -74,6 +74,8 @@
     std::function<void(const TargetSendNote &send, const HttpResponse &response)> noteCallAnswer;
     /// Stops a run whose connection was closed or lost.
     std::function<void(AbandonedRun run)> stopRun;
+    /// The same at once; calls \a onReleased once, when the run has ended or can't be ended.
+    std::function<void(AbandonedRun run, std::function<void()> onReleased)> stopRunAtOnce;
     /// Called before a request is sent to a target where a run of it may have to be stopped.
     std::function<void(const RequestId &id, const TargetId &target)> cancelStop;
     BufferBudget &buffers; ///< For bytes of answers.
@@ -153,7 +155,7 @@
     TargetSendNote ownCall(const ServiceTarget &target) const;
     void reserve(std::uint64_t move, const TargetId &destination);
     void dropReservation(std::uint64_t move);
-    void freeCopy(const TargetId &source, const StreamCopy &copy);
+    void freeCopy(const StreamCopy &copy);
     std::optional<TargetId> chooseBackupTarget(const TargetId &target) const;
     std::optional<StreamCopy> findBackup(const TargetId &holder) const;
     void send(const RelaySend &order);
@@ -164,8 +166,11 @@
     bool isEmptied(const ServiceTarget &target, std::string_view call) const;
     HttpCallHooks callHooks(std::uint64_t exchange, const TargetId &target, bool isResumed);
     void abandon(std::uint64_t exchange);
+    void endRun(std::uint64_t exchange);
+    void close(std::uint64_t exchange);
     void release(const TargetExchange &exchange);
-    void stopRun(const TargetExchange &exchange);
+    bool mayRunOn(const TargetExchange &exchange) const;
+    AbandonedRun abandonedRun(const TargetExchange &exchange) const;
     Endpoint endpointBeside(const TargetExchange &exchange) const;
     void notePart(std::uint64_t exchange);
     void noteFirstPart(const TargetExchange &exchange);
--- a/src/daemon/relaysessioncopies.cpp
+++ b/src/daemon/relaysessioncopies.cpp
@@ -79,25 +79,35 @@
     options.endpoint = from->entry.endpoint;
     options.isConnectionKept = false;
     options.connectTimeout = ConnectTimeout;
-    const Endpoint handleIssuer = from->entry.endpoint;
-    const auto answer = [this, alive = m_alive, move, destination, handleIssuer, source,
-                         sent = ownCall(*from)](FetchResult result) {
-        if (!*alive)
-            return;
-        dropReservation(move);
-        m_services.noteCallAnswer(sent, result.response);
-        m_services.metrics.count("currantwalk_copies_total",
-                                 {{"result", result.status.ok() ? "answered" : "lost"}});
+    const StreamCopy asked{destination, source, from->entry.endpoint, {}};
+    const auto answer = [this, alive = m_alive, move, asked, &services = m_services,
+                         sent = ownCall(*from), zone = from->entry.zone](FetchResult result) {
+        services.noteCallAnswer(sent, result.response);
+        services.metrics.count("currantwalk_copies_total",
+                               {{"result", result.status.ok() ? "answered" : "lost"}});
         const absl::StatusOr<std::string> handle =
-                result.status.ok() ? m_services.bindings.readCopy(result.response)
+                result.status.ok() ? services.bindings.readCopy(result.response)
                                    : absl::StatusOr<std::string>(result.status);
+        if (!*alive) {
+            // The request has ended meanwhile.
+            if (handle.ok())
+                currantwalk::freeCopy(services,
+                                      {RequestId(sent.request), sent.target, sent.startedAt, zone,
+                                       asked.handleIssuer, *handle});
+            return;
+        }
+        dropReservation(move);
         if (!handle.ok()) {
             logRequest(LogPart::Calls, LogLevel::Info, m_caller.id.text(),
-                       "Copy to " + destination.text()
+                       "Copy to " + asked.holder.text()
                                + " failed: " + std::string(handle.status().message()));
-            m_call->onCopyResult(move, handle.status());
+            const bool isCallOver =
+                    result.status.ok() || result.progress == SendProgress::NothingSent;
+            m_call->onCopyResult(move, handle.status(), isCallOver);
         } else {
-            m_call->onCopyResult(move, StreamCopy{destination, handleIssuer, *handle});
+            StreamCopy copy = asked;
+            copy.handle = *handle;
+            m_call->onCopyResult(move, copy);
         }
         finishIfSettled();
     };
@@ -132,14 +142,17 @@
 }
 
 // The end of a connection does not end the run at every target.
-void RelaySession::stopRun(const TargetExchange &exchange)
+bool RelaySession::mayRunOn(const TargetExchange &exchange) const
 {
     const CatalogService *const service = m_admitted.catalog->findService(m_service);
     const bool canStop = service && service->engine && service->engine->supportsMoves;
-    if (!exchange.wasSent || exchange.isRunOver || !canStop)
-        return;
-    m_services.stopRun({m_caller.id, exchange.target, exchange.incarnation, exchange.endpoint,
-                        exchange.zone, endpointBeside(exchange)});
+    return canStop && exchange.wasSent && !exchange.isRunOver;
+}
+
+AbandonedRun RelaySession::abandonedRun(const TargetExchange &exchange) const
+{
+    return {m_caller.id,       exchange.target, exchange.incarnation,
+            exchange.endpoint, exchange.zone,   endpointBeside(exchange)};
 }
 
 // The call that stops a run has to name another address, to which the run's memory is copied after
@@ -163,12 +176,13 @@
 }
 
 // The call outlives the request.
-void RelaySession::freeCopy(const TargetId &source, const StreamCopy &copy)
+void RelaySession::freeCopy(const StreamCopy &copy)
 {
-    const ServiceTarget *const issuer = m_services.targets.find(source);
-    currantwalk::freeCopy(m_services, {m_caller.id, source, issuer ? issuer->entry.startedAt : 0,
-                                       issuer ? issuer->entry.zone : m_services.settings.zone,
-                                       copy.handleIssuer, copy.handle});
+    const ServiceTarget *const issuer = m_services.targets.find(copy.issuer);
+    currantwalk::freeCopy(m_services,
+                          {m_caller.id, copy.issuer, issuer ? issuer->entry.startedAt : 0,
+                           issuer ? issuer->entry.zone : m_services.settings.zone,
+                           copy.handleIssuer, copy.handle});
 }
 
 // The node's own zone comes first: a copy there can be reached when the zone is cut off.
@@ -194,7 +208,7 @@
         return std::nullopt;
     if (!m_services.holdOffs.tryResume(id, holder->entry.startedAt, m_services.timers.now()))
         return std::nullopt;
-    return StreamCopy{id, holder->entry.endpoint, m_caller.id.text(), true};
+    return StreamCopy{id, id, holder->entry.endpoint, m_caller.id.text(), true};
 }
 
 } // namespace currantwalk
--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -309,6 +309,8 @@
         return {RunStopResult::Stopped, CopyHandle};
     case 404:
         return {RunStopResult::NoSuchRun, {}};
+    case 409:
+        return {RunStopResult::Busy, {}};
     default:
         return {RunStopResult::Refused, {}};
     }
@@ -336,8 +338,8 @@
                                  {"reason", std::string(refusal.reason)},
                                  {"retry-after", std::to_string(retryAfter.count())}}};
     };
-    bindings.writeCopy = [](const RequestId &, const Endpoint &) {
-        return HttpRequest{"POST", CopyPath, {}, {}};
+    bindings.writeCopy = [](const RequestId &run, const Endpoint &) {
+        return HttpRequest{"POST", CopyPath, {{"id", run.text()}}, {}};
     };
     bindings.readCopy = [](const HttpResponse &response) -> absl::StatusOr<std::string> {
         if (response.body != CopyHandle)
@@ -422,9 +424,12 @@
         m_callers[number].retryAfter = std::chrono::milliseconds(
                 std::stoll(std::string(findHeader(head.headers, "retry-after").value_or("0"))));
     };
-    hooks.onBody = [this, number](std::string_view part) {
+    hooks.onBody = [this, number, &tally](std::string_view part) {
         Caller &caller = m_callers[number];
         caller.firstPartAt = caller.firstPartAt.value_or(timers.now());
+        if (!caller.body.empty())
+            tally.longestPause = std::max(tally.longestPause, timers.now() - caller.lastPartAt);
+        caller.lastPartAt = timers.now();
         caller.body += part;
     };
     hooks.onEnd = [this, number, &tally, onEnd = std::move(onEnd)](const absl::Status &status) {
--- a/src/daemon/tests/entryfleet.h
+++ b/src/daemon/tests/entryfleet.h
@@ -84,6 +84,7 @@
         std::uint32_t open = 0;
         std::vector<Duration> retryAfters; ///< Told with each refusal.
         Duration slowestRefusal{0};
+        Duration longestPause{0};     ///< Between two parts of an answer.
         std::uint32_t disordered = 0; ///< Streams whose events are not 1, 2, 3 and so on.
     };
 
@@ -190,6 +191,7 @@
         Duration retryAfter{0};
         TimePoint sentAt{};
         std::optional<TimePoint> firstPartAt;
+        TimePoint lastPartAt{};
         std::string body;
     };
 
--- a/src/daemon/tests/leftruntest.cpp
+++ b/src/daemon/tests/leftruntest.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "daemon/tests/entryfleet.h"
 
 #include <CppUTest/TestHarness.h>
@@ -93,6 +95,33 @@
         checkOverlaps();
     }
 
+    /// Starts streams; those of one server lose their connections while they are copied.
+    void loseCopiedStreams(Duration copyTime)
+    {
+        forEachEngine([copyTime](SimServer::Options &server) { server.copyTime = copyTime; });
+        startStreams("/stream/x");
+        leaveUntilCopied().loseAnswers();
+    }
+
+    /// Has the server with the most runs leave, and returns it when a run is being copied there.
+    SimServer &leaveUntilCopied()
+    {
+        const auto openRuns = [](const std::unique_ptr<SimServer> &server) {
+            const std::vector<SimRun> &runs = server->runs();
+            return std::count_if(runs.begin(), runs.end(),
+                                 [](const SimRun &run) { return !run.endedAt; });
+        };
+        SimServer &busiest = **std::max_element(fleet->servers.begin(), fleet->servers.end(),
+                                                [&](const auto &one, const auto &other) {
+                                                    return openRuns(one) < openRuns(other);
+                                                });
+        busiest.leave();
+        for (int i = 0; i < 200 && busiest.copiesInProgress() == 0; ++i)
+            fleet->run(5ms);
+        CHECK(busiest.copiesInProgress() > 0);
+        return busiest;
+    }
+
     /// Whether at least \a least runs had begun and all end when their callers leave.
     void checkStoppedAfterCallersLeft(std::size_t least)
     {
@@ -161,6 +190,57 @@
     }
 }
 
+// Guards against a stream that goes on beside a run that can't be stopped, as a call for a copy of
+// it is under way.
+TEST(LeftRuns, streamsLostWhileTheyAreCopiedGoOnWhenTheirRunsCanBeStopped)
+{
+    for (const std::size_t nodes : {7U, 90U}) {
+        for (const Duration copyTime : {100ms, 600ms, 3000ms}) {
+            build(nodes);
+            loseCopiedStreams(copyTime);
+            checkAllServed();
+            CHECK(fleet->longestOverlap() <= MaxOverlap);
+            CHECK(tally.longestPause <= copyTime + 300ms);
+        }
+    }
+}
+
+// Where the run ends with its connection, nothing is waited for.
+TEST(LeftRuns, streamsLostWhileTheyAreCopiedGoOnAtOnceIfTheirRunsHaveEnded)
+{
+    build(7);
+    forEachEngine([](SimServer::Options &server) { server.dropsRuns = true; });
+    loseCopiedStreams(2s);
+    checkAllServed();
+    CHECK(tally.longestPause <= 200ms);
+}
+
+TEST(LeftRuns, streamsCopiedFromAServerThatCrashesGoOnAtOnce)
+{
+    build(7);
+    forEachEngine([](SimServer::Options &server) { server.copyTime = 2s; });
+    startStreams("/stream/x");
+    leaveUntilCopied().crash(SimEnd::Reset);
+    checkAllServed();
+    CHECK(tally.longestPause <= 200ms);
+}
+
+TEST(LeftRuns, runsBeingCopiedAreStoppedSoonAfterTheirCallersHaveLeft)
+{
+    static constexpr Duration CopyTime = 1s;
+    build(7);
+    forEachEngine([](SimServer::Options &server) { server.copyTime = CopyTime; });
+    startStreams("/stream/x");
+    leaveUntilCopied();
+    const TimePoint leftAt = fleet->timers.now();
+    fleet->closeCallers();
+    fleet->run(20s);
+    for (const std::unique_ptr<SimServer> &server : fleet->servers) {
+        for (const SimRun &run : server->runs())
+            CHECK(run.endedAt && *run.endedAt <= leftAt + CopyTime + MaxOverlap);
+    }
+}
+
 TEST(LeftRuns, refusedAndLostCallsToStopARunAreMadeAgain)
 {
     // Four calls in a row are refused for one run in a hundred.
--- a/src/daemon/tests/simserver.cpp
+++ b/src/daemon/tests/simserver.cpp
@@ -156,6 +156,25 @@
                  [this](std::shared_ptr<HttpExchange> exchange) { take(std::move(exchange)); });
 }
 
+std::size_t SimServer::copiesInProgress() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_work.begin(), m_work.end(),
+                          [](const std::shared_ptr<Work> &work) { return work->isBeingCopied; }));
+}
+
+void SimServer::loseAnswers()
+{
+    const std::vector<std::shared_ptr<Work>> all = m_work;
+    for (const std::shared_ptr<Work> &work : all) {
+        if (!work->hasBegun)
+            continue;
+        work->exchange->abort();
+        if (options.dropsRuns)
+            end(work);
+    }
+}
+
 // A run may outlast the connection of its request: what its answer says then reaches nobody.
 HttpResponseHead SimServer::head(int status, const HttpExchange &exchange, SimArrival &arrival)
 {
@@ -303,9 +322,7 @@
         return;
     }
     if (options.givesCopies && exchange->request().path == CopyPath) {
-        exchange->start({200, {}});
-        exchange->write(CopyHandle);
-        exchange->finish();
+        copyRun(exchange);
         return;
     }
     const TimePoint now = m_net.timers().now();
@@ -347,6 +364,39 @@
     beginNext();
 }
 
+std::shared_ptr<SimServer::Work> SimServer::findRun(const HttpExchange &exchange) const
+{
+    const std::string id(findHeader(exchange.request().headers, "id").value_or(""));
+    const auto found =
+            std::find_if(m_work.begin(), m_work.end(), [&id](const std::shared_ptr<Work> &work) {
+                return work->hasBegun
+                       && findHeader(work->exchange->request().headers, "id").value_or("") == id;
+            });
+    return found == m_work.end() ? nullptr : *found;
+}
+
+// Without a time of its own, a copy is made at once of whatever is asked for.
+void SimServer::copyRun(const std::shared_ptr<HttpExchange> &exchange)
+{
+    if (options.copyTime == Duration::zero()) {
+        respond(*exchange, 200, "", CopyHandle);
+        return;
+    }
+    const std::shared_ptr<Work> work = findRun(*exchange);
+    if (!work || work->isBeingCopied) {
+        respond(*exchange, work ? 409 : 404, "", "");
+        return;
+    }
+    work->isBeingCopied = true;
+    m_net.timers().scheduleAfter(options.copyTime, [this, work, exchange, start = m_start] {
+        work->isBeingCopied = false;
+        if (m_isUp && start == m_start && !m_runs[work->run].endedAt)
+            respond(*exchange, 200, "", CopyHandle);
+        else if (m_isUp && start == m_start)
+            respond(*exchange, 404, "", "");
+    });
+}
+
 // The stream of a run that is stopped is closed without its end.
 void SimServer::stopRun(const std::shared_ptr<HttpExchange> &exchange)
 {
@@ -355,15 +405,13 @@
         exchange->finish();
         return;
     }
-    const std::string id(findHeader(exchange->request().headers, "id").value_or(""));
-    const auto found =
-            std::find_if(m_work.begin(), m_work.end(), [&id](const std::shared_ptr<Work> &work) {
-                return work->hasBegun
-                       && findHeader(work->exchange->request().headers, "id").value_or("") == id;
-            });
-    const bool isRunning = found != m_work.end();
+    const std::shared_ptr<Work> work = findRun(*exchange);
+    if (work && work->isBeingCopied) {
+        respond(*exchange, 409, "", "");
+        return;
+    }
+    const bool isRunning = work != nullptr;
     if (isRunning) {
-        const std::shared_ptr<Work> work = *found;
         work->exchange->abort();
         end(work);
     }
--- a/src/daemon/tests/simserver.h
+++ b/src/daemon/tests/simserver.h
@@ -96,6 +96,7 @@
         double errorShare = 0;    ///< Of the requests that get an error before they begin.
         bool keepsCopies = true;  ///< Whether it has the copies from which streams are to go on.
         bool givesCopies = false; ///< Whether it copies streams to other servers when asked.
+        Duration copyTime{0};     ///< Of a copy; the run can't be stopped meanwhile.
         double breakShare = 0;    ///< Of the events in the middle of which the connection is reset.
         /// Whether its streams send a byte at each gap and never an event.
         bool trickles = false;
@@ -123,6 +124,8 @@
     /// Announces that it leaves, or removes its entry, and leaves later; another takes its place.
     void leave();
     void resetConnections();
+    /// Ends the connections of the requests that run; whether the runs go on is up to the options.
+    void loseAnswers();
     /// Becomes cold for \a span. Its entry says so at once, or with the next beat.
     void becomeCold(Duration span, bool isToldAtOnce = true);
     /// Returns the most requests that came in one second in which it was cold and that began later
@@ -134,6 +137,7 @@
 
     Options options;
     bool isUp() const { return m_isUp; }
+    std::size_t copiesInProgress() const;
     const std::vector<SimArrival> &arrivals() const { return m_arrivals; }
     const std::vector<SimRun> &runs() const { return m_runs; }
     /// Returns the most requests that one start of the server got from one node between \a slack
@@ -168,6 +172,7 @@
         std::uint32_t events = 0;
         std::size_t arrival = 0; ///< Its place among the arrivals.
         std::size_t run = 0;     ///< Its place among the runs, once it has begun.
+        bool isBeingCopied = false;
         /// In the log of poisonous requests, if it crashes the server.
         std::optional<std::string> poison;
     };
@@ -178,7 +183,9 @@
     void beat();
     void writeEntry(bool isLeaving);
     void take(std::shared_ptr<HttpExchange> exchange);
+    void copyRun(const std::shared_ptr<HttpExchange> &exchange);
     void stopRun(const std::shared_ptr<HttpExchange> &exchange);
+    std::shared_ptr<Work> findRun(const HttpExchange &exchange) const;
     bool isDropped(const Work &work) const;
     void endAllWork();
     void beginNext();
