Net: a further request does not lose the end of the answer before it

A caller that sends a further request behind one whose connection is closed with its answer lost what the system had yet to send of the answer.

Cause: the program reads nothing of a connection while it answers, and the library closes it with the further request unread, for which the system resets it.

Change: what has come of a further request is read before the connection is closed.

--- a/src/net/h2oexchange.cpp
+++ b/src/net/h2oexchange.cpp
@@ -175,6 +175,8 @@
 {
     m_answers.remove(*this);
     m_timers.cancel(m_peerTimer);
+    if (m_state == State::Sent && m_request->version < Http2 && !m_request->http1_is_persistent)
+        discardUnreadBytes();
     ServerConnection &connection = *ServerConnection::of(socket());
     if (m_isWatching)
         connection.stream = nullptr;
@@ -413,6 +415,17 @@
     return connection.guard.admitUnread(connection, static_cast<std::size_t>(unread));
 }
 
+// The connection is closed next. With unread bytes that would reset it, and what the system has yet
+// to send of the answer would be lost.
+void ResponseStream::discardUnreadBytes() const
+{
+    constexpr int MaxReads = 16;
+    std::array<char, 4096> bytes{};
+    const int fd = h2o_socket_get_fd(socket());
+    for (int i = 0; i < MaxReads && recv(fd, bytes.data(), bytes.size(), MSG_DONTWAIT) > 0; ++i) {
+    }
+}
+
 void ResponseStream::onPeerGone()
 {
     H2oExchange *const exchange = m_exchange;
--- a/src/net/h2oexchange.h
+++ b/src/net/h2oexchange.h
@@ -91,6 +91,7 @@
     void endInLibrary();
     void watchPeer();
     bool admitUnreadBytes() const;
+    void discardUnreadBytes() const;
     void onPeerGone();
     void unwatchPeer();
 
--- a/src/net/tests/closingtest.cpp
+++ b/src/net/tests/closingtest.cpp
@@ -79,6 +79,32 @@
     CHECK(bench->runUntil([&] { return bench->loop->server().unsentAnswers().answers == 0; }));
 }
 
+// Guards against a reset that loses what the system has yet to send of an answer, since the caller
+// has sent a further request that nobody reads.
+TEST(ClosingAnswers, aFurtherRequestDoesNotLoseTheEndOfTheLastAnswer)
+{
+    // Fits what the system keeps to send, but not what it keeps of a caller that doesn't read.
+    static constexpr std::size_t Bytes = 150'000;
+    static constexpr int ReceiveBytes = 4096;
+    static constexpr std::string_view Request = "GET / HTTP/1.1\r\nhost: h\r\n\r\n";
+    caller = std::make_unique<RawSocket>(bench->server, ReceiveBytes);
+    CHECK(bench->runUntil([&] { return caller->send(Request).empty(); }));
+    CHECK(bench->runUntil([&] { return !bench->exchanges.empty(); }));
+    CHECK(caller->send(Request).empty());
+    HttpExchange &exchange = *bench->exchanges.back();
+    exchange.closeAfterAnswer();
+    exchange.start({200, {{"content-length", std::to_string(Bytes)}}});
+    exchange.write(std::string(Bytes, 'x'));
+    exchange.finish();
+    CHECK(bench->runUntil([&] { return bench->loop->server().connections() == 0; }));
+    for (int i = 0; i < 2000 && !caller->isClosed(); ++i) {
+        caller->receive();
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    CHECK(caller->received().size() > Bytes);
+    CHECK(!caller->isReset());
+}
+
 // Guards against an answer that ends with its connection, is cut off by the end of the process, and
 // looks whole to its caller.
 TEST(ClosingAnswers, anAnswerCutOffByTheEndOfTheProcessDoesNotLookWhole)
--- a/src/net/tests/rawsocket.h
+++ b/src/net/tests/rawsocket.h
@@ -19,10 +19,13 @@
 class RawSocket
 {
 public:
-    /// Connects to \a endpoint.
-    explicit RawSocket(const Endpoint &endpoint)
+    /// Connects to \a endpoint; with \a receiveBytes the system keeps about as much that is not
+    /// read.
+    explicit RawSocket(const Endpoint &endpoint, int receiveBytes = 0)
         : m_fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
     {
+        if (receiveBytes != 0)
+            setsockopt(m_fd, SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof(receiveBytes));
         const SocketAddress address = SocketAddress::fromEndpoint(endpoint).value();
         m_isClosed = ::connect(m_fd, address.data(), address.size()) != 0 && errno != EINPROGRESS;
     }
