RunStopper: a run is stopped also at a start of its target that was not known yet

What callers saw: nothing in their answers.

Cause: stopRun() took a new start of the target for proof that the run had ended. The trace showed "no-such-run" without a call at the server.

Change: the call is made whatever start the node knows by now. A server without the run says so.

LeftRuns.streamsAtAStartThatWasNotKnownYetAreStoppedThere failed before.

--- a/src/daemon/runstopcalls.cpp
+++ b/src/daemon/runstopcalls.cpp
@@ -45,18 +45,12 @@
 }
 
 // The call ends work, so it goes to each target that can be reached, whatever holds new work back:
-// a hold-off, a limit, a cold target, one that leaves or whose zone is emptied.
+// a hold-off, a limit, a cold target, one that leaves or whose zone is emptied. It goes also to a
+// target that has started anew meanwhile: the node may have heard of that start after it had sent
+// the request to it.
 static void stopRun(RelayServices &services, const AbandonedRun &run,
                     RunStopper::Hooks::Callback callback)
 {
-    const ServiceTarget *const target = services.targets.find(run.target);
-    // A new start of the target knows nothing of the run.
-    if (target && target->entry.startedAt != run.startedAt) {
-        services.timers.scheduleAfter(Duration::zero(), [callback = std::move(callback)] {
-            callback({RunStopResult::NoSuchRun, {}});
-        });
-        return;
-    }
     chargeCall(services, run);
     services.fetcher.fetch(callOptions(run.endpoint),
                            services.bindings.writeStop(run.id, run.destination), StopTimeout,
--- a/src/daemon/tests/leftruntest.cpp
+++ b/src/daemon/tests/leftruntest.cpp
@@ -18,13 +18,15 @@
     EntryFleet::Tally tally;
     EntryFleet::Tally others;
 
-    void build(std::size_t nodes, std::uint64_t seed = 1, std::size_t engines = 12)
+    void build(std::size_t nodes, std::uint64_t seed = 1, std::size_t engines = 12,
+               bool doServersKeepIds = false)
     {
         fleet.reset();
         tally = {};
         EntryFleet::Options options;
         options.nodes = nodes;
         options.seed = seed;
+        options.doServersKeepIds = doServersKeepIds;
         options.zones = std::max<std::size_t>(3, nodes / 12);
         options.generationServers = engines == 1 ? 1 : std::max(engines, nodes);
         options.plainServers = options.zones;
@@ -241,6 +243,24 @@
     }
 }
 
+// Guards against a stop that is left out since the server has started anew under its id: the run
+// may be one of the new start, of which the node heard only after it had sent the request.
+TEST(LeftRuns, streamsAtAStartThatWasNotKnownYetAreStoppedThere)
+{
+    build(7, 1, 12, true);
+    fleet->setStoreUp(false);
+    fleet->run(100ms);
+    for (std::size_t i = 0; i < 4; ++i) {
+        fleet->servers[i]->options.restartAfter = 100ms;
+        fleet->servers[i]->crash(SimEnd::Reset);
+    }
+    fleet->run(300ms);
+    startStreams("/stream/x");
+    fleet->setStoreUp(true);
+    checkAllServed();
+    checkOverlaps();
+}
+
 TEST(LeftRuns, refusedAndLostCallsToStopARunAreMadeAgain)
 {
     // Four calls in a row are refused for one run in a hundred.
