EntryNode: runs cut off by the end of a planned stop are stopped

What callers saw: nothing more; their streams had been broken off at the end of the grace. Servers that go on without their connection worked on for nobody.

Cause: the calls that stop runs wait 100 ms for the server to notice the close, and the process ended after 100 ms.

Change: at the end of a planned stop the calls that wait are made at once.

LeftRuns.runsThatAPlannedStopCutsOffAreStopped failed before; callsTests and the groups LeftRuns and PlannedStop pass.

--- a/src/calls/runstopper.cpp
+++ b/src/calls/runstopper.cpp
@@ -70,6 +70,17 @@
     }
 }
 
+// Those without a timer wait for the answer to a call.
+void RunStopper::callAllNow()
+{
+    for (const auto &[number, entry] : m_runs) {
+        if (entry.timer == NoTimer)
+            continue;
+        m_timers.cancel(entry.timer);
+        schedule(number, Duration::zero());
+    }
+}
+
 void RunStopper::schedule(std::uint64_t number, Duration delay)
 {
     m_runs.at(number).timer = m_timers.scheduleAfter(delay, [this, number] {
--- a/src/calls/runstopper.h
+++ b/src/calls/runstopper.h
@@ -85,6 +85,8 @@
     /// Called when the request \a id is about to be sent to \a target again. A stop would end the
     /// new run.
     void cancel(const RequestId &id, const TargetId &target);
+    /// Makes the calls that wait at once, as the process is about to end.
+    void callAllNow();
     /// Returns the number of runs that may continue.
     std::size_t size() const { return m_runs.size(); }
 
--- a/src/calls/tests/runstoppertest.cpp
+++ b/src/calls/tests/runstoppertest.cpp
@@ -144,6 +144,21 @@
     LONGS_EQUAL(1, released);
 }
 
+TEST(RunStopper, callsThatWaitAreMadeAtOnceBeforeTheProcessEnds)
+{
+    stopper->add(run("r1"));
+    timers.advance(RunStopper::CloseNoticeTime);
+    stopper->add(run("r2"));
+    stopper->callAllNow();
+    timers.advance(1ms);
+    // The first one's call is under way.
+    LONGS_EQUAL(2, calls.size());
+    calls[0]({RunStopResult::Refused, {}});
+    stopper->callAllNow();
+    timers.advance(1ms);
+    LONGS_EQUAL(3, calls.size());
+}
+
 TEST(RunStopper, aCopyMadeByACallThatCameTooLateIsFreed)
 {
     stopper->add(run());
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -255,7 +255,8 @@
         m_isStopped = true;
         for (RelaySession *session : sessions())
             session->shutDown();
-        // One more round lets the last answers be written.
+        m_runStopper->callAllNow();
+        // Time for the last answers to be written and for the calls to reach their targets.
         m_loop.timers().scheduleAfter(StopReserve / 3, [this] {
             logUnsentAnswers(m_loop.server().unsentAnswers());
             m_loop.stop();
--- a/src/daemon/tests/leftruntest.cpp
+++ b/src/daemon/tests/leftruntest.cpp
@@ -319,6 +319,27 @@
     checkOverlaps();
 }
 
+// Guards against runs that go on for nobody after a planned stop has cut their streams off.
+TEST(LeftRuns, runsThatAPlannedStopCutsOffAreStopped)
+{
+    build(7);
+    forEachEngine([](SimServer::Options &server) { server.events = 400; });
+    startStreams("/stream/x");
+    for (std::size_t node = 0; node < fleet->nodeCount(); ++node)
+        fleet->node(node).beginDrain();
+    for (int i = 0; i < 800; ++i) {
+        fleet->run(10ms);
+        for (std::size_t node = 0; node < fleet->nodeCount(); ++node) {
+            if (fleet->isUp(node) && fleet->hasStopped(node))
+                fleet->killNode(node);
+        }
+    }
+    for (const std::unique_ptr<SimServer> &server : fleet->servers) {
+        for (const SimRun &run : server->runs())
+            CHECK(run.endedAt.has_value());
+    }
+}
+
 // A run that nobody reads is work for nothing.
 TEST(LeftRuns, runsOfCallersThatLeftAreStopped)
 {
