--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -487,60 +487,6 @@
            > Duration::zero();
 }
 
-void RelaySession::abandon(std::uint64_t exchange)
-{
-    const auto it = m_exchanges.find(exchange);
-    if (it == m_exchanges.end())
-        return;
-    if (mayRunOn(it->second))
-        m_services.stopRun(abandonedRun(it->second));
-    close(exchange);
-}
-
-// The hook that asks for the end of a run may not call back into the call.
-void RelaySession::endRun(std::uint64_t exchange)
-{
-    const auto onReleased = [this, alive = m_alive, exchange] {
-        if (!*alive)
-            return;
-        m_call->onRunReleased(exchange);
-        finishIfSettled();
-    };
-    const auto it = m_exchanges.find(exchange);
-    if (it != m_exchanges.end() && mayRunOn(it->second))
-        m_services.stopRunAtOnce(abandonedRun(it->second), onReleased);
-    else
-        m_services.timers.scheduleAfter(Duration::zero(), onReleased);
-    close(exchange);
-}
-
-// The exchange is dropped in the loop's next round, since this may be called from its callback.
-void RelaySession::close(std::uint64_t exchange)
-{
-    const auto it = m_exchanges.find(exchange);
-    if (it == m_exchanges.end())
-        return;
-    release(it->second);
-    std::shared_ptr<HttpCall> call = std::move(it->second.call);
-    m_exchanges.erase(it);
-    if (call)
-        m_services.timers.scheduleAfter(Duration::zero(), [call] {});
-}
-
-void RelaySession::release(const TargetExchange &exchange)
-{
-    // An exchange that sent nothing must not end the run of an earlier one.
-    if (exchange.wasSent && exchange.hasEnded)
-        m_services.poison.onReleased(m_fingerprint, exchange.target, false);
-    else if (exchange.wasSent)
-        m_services.poison.onAbandoned(m_fingerprint, exchange.target);
-    m_services.placer.onEnded(exchange.target, load(), exchange.isWaiting);
-    if (exchange.backup)
-        m_services.placer.onBackupEnded(*exchange.backup, load());
-    if (load().promptTokens != 0)
-        m_services.loadsChanged();
-}
-
 void RelaySession::notePart(std::uint64_t exchange)
 {
     const auto it = m_exchanges.find(exchange);
--- a/src/daemon/relaysessioncopies.cpp
+++ b/src/daemon/relaysessioncopies.cpp
@@ -141,40 +141,6 @@
     return {target.id, target.entry.startedAt, m_services.timers.now(), m_caller.id.text(), true};
 }
 
-// The end of a connection does not end the run at every target.
-bool RelaySession::mayRunOn(const TargetExchange &exchange) const
-{
-    const CatalogService *const service = m_admitted.catalog->findService(m_service);
-    const bool canStop = service && service->engine && service->engine->supportsMoves;
-    return canStop && exchange.wasSent && !exchange.isRunOver;
-}
-
-AbandonedRun RelaySession::abandonedRun(const TargetExchange &exchange) const
-{
-    return {m_caller.id,       exchange.target, exchange.incarnation,
-            exchange.endpoint, exchange.zone,   endpointBeside(exchange)};
-}
-
-// The call that stops a run has to name another address, to which the run's memory is copied after
-// the run has stopped. The target where the stream goes on, or that has a backup of it, has the
-// room already. Without room, or without a target there, the run is stopped all the same.
-Endpoint RelaySession::endpointBeside(const TargetExchange &exchange) const
-{
-    for (const auto &[number, other] : m_exchanges) {
-        if (other.target != exchange.target)
-            return other.endpoint;
-    }
-    const ServiceTarget *const backup =
-            exchange.backup ? m_services.targets.find(*exchange.backup) : nullptr;
-    if (backup && backup->entry.endpoint != exchange.endpoint)
-        return backup->entry.endpoint;
-    const ServiceTarget *other =
-            m_services.choose(m_service, {exchange.target}, m_services.settings.zone, 0);
-    if (!other)
-        other = m_services.targets.findOther(m_service, exchange.endpoint);
-    return other ? other->entry.endpoint : m_services.settings.callers;
-}
-
 // The call outlives the request.
 void RelaySession::freeCopy(const StreamCopy &copy)
 {
--- a/src/daemon/runstopcalls.cpp
+++ b/src/daemon/runstopcalls.cpp
@@ -81,12 +81,12 @@
 }
 
 // Unlike a run, a copy costs room alone, and ends by itself after a time. So the call waits until
-// the target takes calls again.
+// the target takes calls again, and is not made where its zone is emptied.
 void freeCopy(RelayServices &services, const CopyToFree &copy)
 {
     const Duration heldOff =
             services.holdOffs.remaining(copy.target, copy.startedAt, services.timers.now());
-    if (heldOff > MaxFreeDelay || services.targets.isEmptied(copy.zone)) {
+    if (heldOff > MaxFreeDelay) {
         logUnfreed(copy, "the target wants no calls");
         return;
     }
@@ -94,14 +94,17 @@
         services.timers.scheduleAfter(heldOff, [&services, copy] { freeCopy(services, copy); });
         return;
     }
-    services.limiter.request(copy.target, copy.startedAt, copy.zone, GrantUse::Repeat,
-                             [&services, copy](bool isGranted) {
-                                 if (isGranted
-                                     && services.limiter.take(copy.target, copy.startedAt))
-                                     callFree(services, copy);
-                                 else
-                                     logUnfreed(copy, "the target takes no further requests");
-                             });
+    const auto free = [&services, copy](bool isGranted) {
+        if (services.targets.isEmptied(copy.zone)) {
+            services.metrics.count("currantwalk_emptied_zone_sends_total", {{"call", "drop"}});
+            logUnfreed(copy, "zone " + copy.zone.text() + " is emptied");
+        } else if (isGranted && services.limiter.take(copy.target, copy.startedAt)) {
+            callFree(services, copy);
+        } else {
+            logUnfreed(copy, "the target takes no further requests");
+        }
+    };
+    services.limiter.request(copy.target, copy.startedAt, copy.zone, GrantUse::Repeat, free);
 }
 
 RunStopper::Hooks runStopHooks(RelayServices &services)
--- a/src/targets/servicetargets.cpp
+++ b/src/targets/servicetargets.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 
 #include "base/enumtable.h"
 
@@ -217,16 +218,15 @@
 }
 
 const ServiceTarget *ServiceTargets::findOther(const std::string &service,
-                                               const Endpoint &target) const
+                                               const Endpoint &endpoint) const
 {
-    // Higher is better.
     const auto rank = [this, &service](const ServiceTarget &each) {
-        return (each.entry.service == service ? 4 : 0)
-               + (each.phase != TargetPhase::Leaving ? 2 : 0) + (isEmptied(each) ? 0 : 1);
+        return std::make_tuple(each.entry.service == service, !isEmptied(each),
+                               each.phase != TargetPhase::Leaving);
     };
     const ServiceTarget *best = nullptr;
     for (const auto &[id, each] : m_targets) {
-        if (each.entry.endpoint != target && (!best || rank(each) > rank(*best)))
+        if (each.entry.endpoint != endpoint && (!best || rank(each) > rank(*best)))
             best = &each;
     }
     return best;
--- a/src/targets/servicetargets.h
+++ b/src/targets/servicetargets.h
@@ -132,9 +132,9 @@
     /// Returns whether \a service has targets, and all are in zones that are emptied.
     bool isServiceEmptied(const std::string &service) const;
     const ServiceTarget *find(const TargetId &id) const;
-    /// Returns a target at another endpoint than \a target's, whether or not it takes work: one of
-    /// \a service that is ready where possible, else any. nullptr where none is known.
-    const ServiceTarget *findOther(const std::string &service, const Endpoint &target) const;
+    /// Returns a target at another endpoint than \a endpoint, whether or not it takes work; where
+    /// possible one of \a service, outside emptied zones, and ready. nullptr where none is known.
+    const ServiceTarget *findOther(const std::string &service, const Endpoint &endpoint) const;
     std::size_t size() const { return m_targets.size(); }
     std::size_t countLeaving() const;
     std::size_t countCold() const;
