LoopTimerService: what arrived in a pause comes before timers that came due

A round of the loop that takes 250 ms longer than its wait counts as a pause. The timers that were set before it and came due run 20 ms later, in their order; those set since, which deliver answers, run at once. At most once a second, so that timers also run where each round is long.

Evidence: answersThatArrivedInAPauseComeBeforeTimersThatCameDue got "due" before "answer" without the change; with it, and with timersRunAlsoWhereRoundsAreLong, the tests of EventLoop pass.

--- a/src/base/timerqueue.h
+++ b/src/base/timerqueue.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "base/timerservice.h"
 
@@ -47,6 +48,30 @@
         return std::move(node.mapped());
     }
 
+    /// Returns the id of the timer that was inserted last.
+    TimerId lastId() const { return m_lastId; }
+
+    /// Has the timers up to \a lastId that are due at \a now fall due at \a later, in the same
+    /// order. Returns their number.
+    std::size_t postpone(TimerId lastId, TimePoint now, TimePoint later)
+    {
+        std::vector<std::pair<TimerId, TimerService::Callback>> due;
+        for (auto it = m_entries.begin(); it != m_entries.end() && it->first.first <= now;) {
+            const auto current = it++;
+            if (current->first.second > lastId)
+                continue;
+            auto node = m_entries.extract(current);
+            due.emplace_back(node.key().second, std::move(node.mapped()));
+        }
+        for (auto &[id, callback] : due) {
+            m_times[id] = later;
+            m_entries.emplace(Key{later, id}, std::move(callback));
+            // Keeps the order of timers whose ids are in another one.
+            later += Duration(1);
+        }
+        return due.size();
+    }
+
     void clear()
     {
         m_entries.clear();
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -108,9 +108,11 @@
     const Duration wait = m_timers.waitBudget(limit);
     if (wait == Duration::zero())
         m_timers.requestRound();
+    m_timers.onRoundBegin(wait);
     h2o_evloop_run(
             m_native.loop,
             static_cast<std::int32_t>(std::chrono::ceil<std::chrono::milliseconds>(wait).count()));
+    m_timers.onRoundEnd();
     m_server.onRoundEnd();
 }
 
--- a/src/net/looptimerservice.cpp
+++ b/src/net/looptimerservice.cpp
@@ -67,10 +67,30 @@
     static_cast<Entry *>(entry)->service->runDue();
 }
 
+void LoopTimerService::onRoundBegin(Duration wait)
+{
+    m_roundBegin = now();
+    m_roundWait = wait;
+    m_lastIdBefore = m_queue.lastId();
+}
+
+// After a pause all timers are due at once. A time-out would then be taken for the silence of
+// another process, though its answer has arrived and waits to be read. Timers that were inserted
+// since the pause, as those that deliver answers, are not postponed.
+void LoopTimerService::postponeAfterPause()
+{
+    const TimePoint time = now();
+    if (time - m_roundBegin <= m_roundWait + MinPause || time < m_nextPostponement)
+        return;
+    m_nextPostponement = time + PostponementGap;
+    m_queue.postpone(m_lastIdBefore, time, time + ReceiveTime);
+}
+
 // The time is read once, so that a callback which subscribes again without delay can't keep the
 // sockets from being served.
 void LoopTimerService::runDue()
 {
+    postponeAfterPause();
     const TimePoint start = now();
     while (!m_isClosed && m_queue.earliest() && *m_queue.earliest() <= start) {
         const Callback callback = m_queue.take();
--- a/src/net/looptimerservice.h
+++ b/src/net/looptimerservice.h
@@ -6,10 +6,18 @@
 
 namespace currantwalk {
 
-/// The timer service of a process: one ordered queue, run from a timeout list of the loop.
+/// The timer service of a process: one ordered queue, run from a timeout list of the loop. After a
+/// pause of the process, what it has received meanwhile is handled before the timers that came due.
 class LoopTimerService final : public TimerService
 {
 public:
+    /// A round that takes this much longer than its wait counts as a pause of the process.
+    static constexpr Duration MinPause = std::chrono::milliseconds(250);
+    /// Time after a pause for what was received during it.
+    static constexpr Duration ReceiveTime = std::chrono::milliseconds(20);
+    /// Shortest time between two postponements, so that timers run also where each round is long.
+    static constexpr Duration PostponementGap = std::chrono::seconds(1);
+
     explicit LoopTimerService(h2o_loop_t *loop);
     ~LoopTimerService() override;
     LoopTimerService(const LoopTimerService &) = delete;
@@ -26,6 +34,10 @@
     void close();
     /// Has the loop's next round run what is due, without waiting.
     void requestRound();
+    /// Called before a round that waits for \a wait at most.
+    void onRoundBegin(Duration wait);
+    /// Called after a round.
+    void onRoundEnd() { postponeAfterPause(); }
 
 private:
     struct Entry : h2o_timeout_entry_t
@@ -35,11 +47,16 @@
 
     static void onTimeout(h2o_timeout_entry_t *entry);
     void runDue();
+    void postponeAfterPause();
 
     h2o_loop_t *m_loop;
     h2o_timeout_t m_timeout{};
     Entry m_entry{};
     TimerQueue m_queue;
+    TimePoint m_roundBegin{};
+    Duration m_roundWait{0};
+    TimerId m_lastIdBefore = NoTimer; ///< Of the timers that were inserted before the round.
+    TimePoint m_nextPostponement{};
     bool m_isClosed = false;
 };
 
--- a/src/net/tests/eventlooptest.cpp
+++ b/src/net/tests/eventlooptest.cpp
@@ -1,9 +1,14 @@
 #include <csignal>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
+#include <netinet/in.h>
+
 #include "net/eventloop.h"
+#include "net/fetcher.h"
+#include "net/tests/rawsocket.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -87,6 +92,56 @@
     CHECK((fired == std::vector<int>{1, 2}));
 }
 
+// Guards against a pause of the process that passes for the silence of another one: the answer has
+// arrived meanwhile, and the timer that waits for it has come due.
+TEST(EventLoop, answersThatArrivedInAPauseComeBeforeTimersThatCameDue)
+{
+    static constexpr Duration Pause = 600ms;
+    const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    const SocketAddress any = SocketAddress::fromEndpoint({"127.0.0.1", 0}).value();
+    CHECK(::bind(listener, any.data(), any.size()) == 0 && ::listen(listener, 1) == 0);
+    sockaddr_in bound{};
+    socklen_t size = sizeof(bound);
+    ::getsockname(listener, reinterpret_cast<sockaddr *>(&bound), &size);
+    Fetcher fetcher(loop->client(), loop->timers(), 100);
+    std::vector<std::string> order;
+    std::unique_ptr<RawSocket> answerer;
+    HttpCallOptions options;
+    options.endpoint = {"127.0.0.1", ntohs(bound.sin_port)};
+    const TimerId overdue =
+            loop->timers().scheduleAfter(400ms, [&order] { order.emplace_back("overdue"); });
+    loop->timers().scheduleAfter(200ms, [&order] { order.emplace_back("due"); });
+    fetcher.fetch(options, {"GET", "/", {}, ""}, 500ms, [&](const FetchResult &result) {
+        order.emplace_back(result.status.ok() ? "answer" : "failure");
+        loop->timers().cancel(overdue);
+    });
+    loop->timers().scheduleAfter(100ms, [listener, &answerer] {
+        answerer = std::make_unique<RawSocket>(::accept(listener, nullptr, nullptr));
+        answerer->send("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+        std::this_thread::sleep_for(Pause);
+    });
+    CHECK(runUntil([&order] { return order.size() >= 2; }));
+    STRCMP_EQUAL("answer", order.at(0).c_str());
+    STRCMP_EQUAL("due", order.at(1).c_str());
+    ::close(listener);
+}
+
+// Guards against timers that never run where each round of the loop takes long.
+TEST(EventLoop, timersRunAlsoWhereRoundsAreLong)
+{
+    int rounds = 0;
+    bool hasRun = false;
+    loop->timers().scheduleAfter(10ms, [&hasRun] { hasRun = true; });
+    const std::function<void()> work = [&] {
+        std::this_thread::sleep_for(300ms);
+        if (++rounds < 4 && !hasRun)
+            loop->timers().scheduleAfter(0ms, work);
+    };
+    loop->timers().scheduleAfter(0ms, work);
+    CHECK(runUntil([&] { return hasRun || rounds >= 4; }));
+    CHECK(hasRun);
+}
+
 TEST(EventLoop, runEndsOnStop)
 {
     int rounds = 0;
