ServiceTargets: an outage of the store needs more than one node's word

Cause: a node that reads the store for others told them of an outage after any failed read, and they took its word, whatever they had read themselves meanwhile. An entry removed within 2.5 s after that kept its target in use for 2 s from the removal and up to a tick of 250 ms more.

StoreOutages decides what counts: a second or more without a read, and no read known that was sent and answered in it. The message between nodes tells the length. NodeTimers can run the timers of a paused node before its messages, as the loop did.

--- a/src/calls/tests/nodetimers.h
+++ b/src/calls/tests/nodetimers.h
@@ -1,6 +1,7 @@
 #ifndef CURRANTWALK_CALLS_TESTS_NODETIMERS_H
 #define CURRANTWALK_CALLS_TESTS_NODETIMERS_H
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <set>
@@ -23,10 +24,14 @@
     {
         const TimerId id = ++m_lastId;
         m_pending[id] = m_shared.scheduleAt(when, [this, id, callback = std::move(callback)] {
-            run([this, id, callback] {
+            const Callback action = [this, id, callback] {
                 if (m_pending.erase(id) > 0)
                     callback();
-            });
+            };
+            if (m_isPaused)
+                m_waiting.push_back({true, action});
+            else
+                action();
         });
         return id;
     }
@@ -44,18 +49,23 @@
     void run(Callback action)
     {
         if (m_isPaused)
-            m_waiting.push_back(std::move(action));
+            m_waiting.push_back({false, std::move(action)});
         else
             action();
     }
 
     void pause() { m_isPaused = true; }
 
-    void resume()
+    /// Runs what has waited, in its order or, with \a areTimersFirst, the timers before the
+    /// messages, as a process does whose timers are all due when it runs again.
+    void resume(bool areTimersFirst = false)
     {
         m_isPaused = false;
+        if (areTimersFirst)
+            std::stable_partition(m_waiting.begin(), m_waiting.end(),
+                                  [](const Waiting &each) { return each.isTimer; });
         while (!m_waiting.empty() && !m_isPaused) {
-            const Callback action = std::move(m_waiting.front());
+            const Callback action = std::move(m_waiting.front().action);
             m_waiting.pop_front();
             action();
         }
@@ -73,10 +83,16 @@
     bool isPaused() const { return m_isPaused; }
 
 private:
+    struct Waiting
+    {
+        bool isTimer = false;
+        Callback action;
+    };
+
     TimerService &m_shared;
     TimerId m_lastId = NoTimer;
     std::map<TimerId, TimerId> m_pending; // Own ids to ids of the shared service.
-    std::deque<Callback> m_waiting;
+    std::deque<Waiting> m_waiting;
     bool m_isPaused = false;
 };
 
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -106,7 +106,7 @@
       m_roster({}, settings.vm),
       m_readers({}, settings.vm, settings.zone, m_roster),
       m_peers(loop.client(), loop.timers(), settings.peerKey, false, m_metrics),
-      m_topics({}, m_readers, m_peers, loop.timers(), m_random),
+      m_topics({}, m_readers, m_peers, loop.timers(), m_random, m_metrics),
       m_loads(settings.vm, {settings.peers, settings.zone, m_incarnation}, m_peers, m_roster,
               m_readers, m_placer, m_targets, m_limits,
               {[this] { return catalogNote(); },
--- a/src/daemon/entrynodestore.cpp
+++ b/src/daemon/entrynodestore.cpp
@@ -89,7 +89,9 @@
     events.onRestored = [this](std::uint64_t earlier, std::uint64_t era) {
         onTopicRestored(SharedTopic::Targets, earlier, era);
     };
-    events.onPeerOutage = [this](Duration sinceOutage) { m_targets.onPeerOutage(sinceOutage); };
+    events.onPeerOutage = [this](Duration sinceOutage, Duration) {
+        m_targets.onPeerOutage(sinceOutage);
+    };
     events.onScanIncomplete = [this](const std::string &after, const absl::Status &status) {
         logLine(LogPart::Targets, LogLevel::Warning,
                 "The list of targets can't be read after the key " + after + ": "
--- a/src/daemon/tests/entryfleet.cpp
+++ b/src/daemon/tests/entryfleet.cpp
@@ -167,9 +167,9 @@
     m_nodes[index].loop->nodeTimers().pause();
 }
 
-void EntryFleet::resumeNode(std::size_t index)
+void EntryFleet::resumeNode(std::size_t index, bool areTimersFirst)
 {
-    m_nodes[index].loop->nodeTimers().resume();
+    m_nodes[index].loop->nodeTimers().resume(areTimersFirst);
 }
 
 void EntryFleet::publish(std::uint64_t version, bool hasKey)
--- a/src/daemon/tests/entryfleet.h
+++ b/src/daemon/tests/entryfleet.h
@@ -100,7 +100,8 @@
     void restartAllNodes(Duration outage);
     /// Suspends a node: its timers and messages wait until it is resumed.
     void pauseNode(std::size_t index);
-    void resumeNode(std::size_t index);
+    /// With \a areTimersFirst, its timers that have become due run before what it has received.
+    void resumeNode(std::size_t index, bool areTimersFirst = false);
     /// Returns whether the node has ended its orderly stop, so that its process exits.
     bool hasStopped(std::size_t index) const { return m_nodes[index].loop->isStopped(); }
     bool isUp(std::size_t index) const { return m_nodes[index].node != nullptr; }
--- a/src/daemon/tests/storereadertest.cpp
+++ b/src/daemon/tests/storereadertest.cpp
@@ -22,12 +22,14 @@
     std::vector<std::pair<TimePoint, Endpoint>> sent; ///< Callers' requests to servers.
     std::vector<std::pair<TimePoint, std::string>> senders;
 
-    EntryFleet &build(std::size_t nodes, std::size_t zones, std::uint64_t seed = 1)
+    EntryFleet &build(std::size_t nodes, std::size_t zones, std::uint64_t seed = 1,
+                      std::size_t plainServers = 3)
     {
         EntryFleet::Options options;
         options.seed = seed;
         options.nodes = nodes;
         options.zones = zones;
+        options.plainServers = plainServers;
         options.maxKeyAge = 4500ms;
         sent.clear();
         senders.clear();
@@ -133,6 +135,39 @@
         CHECK_EQUAL_TEXT(0U, sentAfter(revokedAt + RevokeBound), text.c_str());
     }
 
+    /// The readers of all zones stand still for \a pause; the only server of a service is removed
+    /// \a wait after they run again.
+    void checkRemovalAfterPause(std::size_t nodes, Duration pause, Duration wait)
+    {
+        const std::string text = std::to_string(nodes) + " nodes, pause "
+                                 + std::to_string(pause / 1ms) + " ms, wait "
+                                 + std::to_string(wait / 1ms) + " ms";
+        build(nodes, 3, 1, 1);
+        SimServer &only = *fleet->servers.back();
+        only.options.announcesLeaving = false;
+        only.options.leavingTime = 8s;
+        EntryFleet::Tally tally;
+        const auto send = [&](Duration span) {
+            for (const TimePoint end = fleet->timers.now() + span; fleet->timers.now() < end;) {
+                for (std::size_t i = 0; i < std::min<std::size_t>(nodes, 12); ++i)
+                    fleet->request(i, "POST", "/once/x", "body", tally);
+                fleet->run(std::min(end - fleet->timers.now(), Duration(40ms)));
+            }
+        };
+        for (std::size_t zone = 0; zone < 3; ++zone)
+            fleet->pauseNode(fleet->readersOf(fleet->zoneOf(zone)).front());
+        fleet->run(pause);
+        for (std::size_t zone = 0; zone < 3; ++zone)
+            fleet->resumeNode(fleet->readersOf(fleet->zoneOf(zone)).front(), true);
+        send(wait);
+        only.leave();
+        const TimePoint leftAt = fleet->timers.now();
+        CHECK_TEXT(sentTo(only.options.endpoint, leftAt - 200ms) > 0, text.c_str());
+        send(DrainBound + 1s);
+        CHECK_EQUAL_TEXT(0U, sentTo(only.options.endpoint, leftAt + DrainBound), text.c_str());
+        fleet->run(30s);
+    }
+
     // Returns whether the node takes the callers' key.
     bool admits(std::size_t node)
     {
@@ -190,6 +225,46 @@
     checkBounds(195, 5, Loss::Killed, 1, 1);
 }
 
+// Guards against a pause of the node that reads for others which they take for an outage of the
+// store: the removed entry of a server would then count as one that may reappear.
+TEST(StoreReaders, aReaderThatStoodStillKeepsNoRemovedServerInUse)
+{
+    for (const Duration pause : {1200ms, 2200ms, 4000ms}) {
+        for (const Duration wait : {100ms, 300ms, 1000ms, 1900ms, 2300ms})
+            checkRemovalAfterPause(7, pause, wait);
+    }
+    for (const Duration wait : {300ms, 1900ms})
+        checkRemovalAfterPause(90, 2200ms, wait);
+}
+
+// Guards against a link of the reader's own that is taken for an outage of the store.
+TEST(StoreReaders, aReaderThatLostItsLinkKeepsNoRemovedServerInUse)
+{
+    for (const std::size_t nodes : {7U, 90U}) {
+        for (const Duration outage : {1500ms, 4000ms}) {
+            build(nodes, 3, 1, 1);
+            SimServer &only = *fleet->servers.back();
+            only.options.announcesLeaving = false;
+            only.options.leavingTime = 8s;
+            const std::size_t reader = fleet->readersOf(ZoneName("z0")).front();
+            fleet->nodesWithoutStore.insert(reader);
+            fleet->run(outage);
+            fleet->nodesWithoutStore.erase(reader);
+            fleet->run(1200ms);
+            only.leave();
+            const TimePoint leftAt = fleet->timers.now();
+            EntryFleet::Tally tally;
+            for (int round = 0; round < 80; ++round) {
+                for (std::size_t i = 0; i < nodes; i += 1 + nodes / 12)
+                    fleet->request(i, "POST", "/once/x", "body", tally);
+                fleet->run(40ms);
+            }
+            LONGS_EQUAL(0, sentTo(only.options.endpoint, leftAt + DrainBound));
+            fleet->run(30s);
+        }
+    }
+}
+
 // The reader's zone has lost the store, and the reader sleeps while the key is taken away.
 TEST(StoreReaders, readerThatWakesPassesOnNothingAsFresh)
 {
--- a/src/daemon/tests/topicmessagestest.cpp
+++ b/src/daemon/tests/topicmessagestest.cpp
@@ -30,7 +30,7 @@
     tail.records = {{"a", std::string("\xff\x00{", 3), 5}, {"b", std::nullopt, 9}};
     tail.next = 10;
     tail.end = 10;
-    tail.origin = {3, Duration(-1500ms), true, Duration(20s)};
+    tail.origin = {3, Duration(-1500ms), true, Duration(20s), Duration(4s)};
     const Json::Value json = *parseJson(writeJson(encodeTopicTail(tail)));
     const absl::StatusOr<KeyedTail> read = decodeTopicTail(json);
     CHECK(read.ok());
@@ -41,6 +41,7 @@
     LONGS_EQUAL(3, read->origin.era);
     CHECK(read->origin.provenAfter == Duration(-1500ms));
     CHECK(read->origin.sinceOutage == Duration(20s));
+    CHECK(read->origin.outageLength == Duration(4s));
     tail.origin.provenAfter.reset();
     CHECK(!decodeTopicTail(encodeTopicTail(tail))->origin.provenAfter);
 }
@@ -56,6 +57,8 @@
                              R"({"era":1,"next":1,"proven_us":0,"records":[[]]})",
                              R"({"era":1,"next":1,"proven_us":0,"records":[["a",1,"?"]]})",
                              R"({"era":1,"next":1,"proven_us":0,"records":[["a",-1]]})",
-                             R"({"era":1,"next":1,"proven_us":0,"records":[],"outage_us":-4})"})
+                             R"({"era":1,"next":1,"proven_us":0,"records":[],"outage_us":-4})",
+                             R"({"era":1,"next":1,"proven_us":0,"records":[],"outage_us":4,)"
+                             R"("outage_length_us":"x"})"})
         CHECK(!decodeTopicTail(*parseJson(text)).ok());
 }
--- a/src/daemon/topicexchange.cpp
+++ b/src/daemon/topicexchange.cpp
@@ -9,6 +9,11 @@
 
 static constexpr const char *TopicMethod = "topic";
 
+static std::string millisecondsText(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 struct TopicExchange::Read
 {
     SharedTopic topic = SharedTopic::Catalog;
@@ -31,8 +36,13 @@
 };
 
 TopicExchange::TopicExchange(const Options &options, ReaderSelector &selector, PeerLink &peers,
-                             TimerService &timers, RandomSource &random)
-    : m_options(options), m_selector(selector), m_peers(peers), m_timers(timers), m_random(random)
+                             TimerService &timers, RandomSource &random, Metrics &metrics)
+    : m_options(options),
+      m_selector(selector),
+      m_peers(peers),
+      m_timers(timers),
+      m_random(random),
+      m_metrics(metrics)
 {
 }
 
@@ -124,22 +134,73 @@
         Topic &topic = m_topics[name];
         const bool isFirstProof = !topic.provenAt;
         topic.provenAt = std::max(when, topic.provenAt.value_or(when));
-        if (std::exchange(topic.isLost, false))
-            topic.outageAt = m_timers.now();
+        noteRead(name, when);
         if (isFirstProof)
             answerAll(name);
         inner(when);
     };
-    callbacks.onPeerOutage = [this, name, inner = events.onPeerOutage](Duration sinceOutage) {
-        Topic &topic = m_topics[name];
-        const TimePoint outageAt = m_timers.now() - sinceOutage;
-        topic.outageAt = std::max(outageAt, topic.outageAt.value_or(outageAt));
-        if (inner)
-            inner(sinceOutage);
+    callbacks.onPeerOutage = [this, name, inner = events.onPeerOutage](Duration sinceOutage,
+                                                                       Duration length) {
+        if (notePeerOutage(name, sinceOutage, length) && inner)
+            inner(sinceOutage, length);
     };
     return callbacks;
 }
 
+void TopicExchange::noteLost(Topic &topic)
+{
+    if (!topic.lostAt)
+        topic.lostAt = m_timers.now();
+}
+
+void TopicExchange::noteRead(SharedTopic name, TimePoint provenAt)
+{
+    Topic &topic = m_topics[name];
+    const TimePoint now = m_timers.now();
+    if (const std::optional<TimePoint> lostAt = std::exchange(topic.lostAt, std::nullopt)) {
+        const bool isOutage = topic.outages.isOutage(*lostAt, now);
+        if (isOutage) {
+            topic.outageAt = now;
+            topic.outageLength = now - *lostAt;
+        }
+        logLine(LogPart::Peers, LogLevel::Info,
+                "The store can be read again for " + std::string(sharedTopicName(name)) + " after "
+                        + millisecondsText(now - *lostAt) + " ms"
+                        + (isOutage ? "." : ", which does not count as an outage of the store."));
+    }
+    topic.outages.onProof(provenAt, now);
+}
+
+// Returns whether the store was unavailable, as far as is known here. That a peer could not read it
+// may be due to the peer or its link alone.
+bool TopicExchange::notePeerOutage(SharedTopic name, Duration sinceOutage, Duration length)
+{
+    Topic &topic = m_topics[name];
+    const TimePoint endedAt = m_timers.now() - sinceOutage;
+    const bool isOutage = topic.outages.isOutage(endedAt - length, endedAt);
+    // A peer tells of it in each of its answers.
+    const bool isNew =
+            !topic.claimedAt || endedAt - *topic.claimedAt > StoreOutages::RecoverySpread;
+    if (isNew) {
+        topic.claimedAt = endedAt;
+        m_metrics.count("currantwalk_peer_outages_total",
+                        {{"topic", std::string(sharedTopicName(name))},
+                         {"result", isOutage ? "taken" : "passed-over"}});
+        logLine(LogPart::Peers, LogLevel::Info,
+                "A peer could not read " + std::string(sharedTopicName(name)) + " for "
+                        + millisecondsText(length) + " ms until " + millisecondsText(sinceOutage)
+                        + " ms ago; this " + (isOutage ? "counts" : "does not count")
+                        + " as an outage of the store.");
+    }
+    if (!isOutage)
+        return false;
+    if (!topic.outageAt || endedAt > *topic.outageAt) {
+        topic.outageAt = endedAt;
+        topic.outageLength = length;
+    }
+    return true;
+}
+
 void TopicExchange::ask(const std::shared_ptr<Read> &read)
 {
     if (read->peers.empty() && read->hasStoreFailed) {
@@ -194,7 +255,7 @@
         return;
     }
     m_selector.onAnswer(peer);
-    m_topics[read->topic].isLost = false;
+    m_topics[read->topic].lostAt.reset();
     if (read->from)
         read->onTail(std::move(*tail));
     else
@@ -217,7 +278,7 @@
 // While the store is away for all, few of the zone's nodes try it in each round.
 bool TopicExchange::isStoreTried(const Read &read)
 {
-    if (!read.isPeerBehind || !m_topics[read.topic].isLost)
+    if (!read.isPeerBehind || !m_topics[read.topic].lostAt)
         return true;
     return m_random.chance(m_options.triesPerRound / static_cast<double>(m_selector.zoneSize()));
 }
@@ -263,7 +324,7 @@
     m_timers.cancel(topic.overdueTimer);
     topic.overdueTimer = m_timers.scheduleAfter(wait + m_options.storeSlack, [this, name] {
         m_topics[name].overdueTimer = NoTimer;
-        m_topics[name].isLost = true;
+        noteLost(m_topics[name]);
         answerAll(name);
     });
 }
@@ -277,7 +338,7 @@
         read->fail(status);
         return;
     }
-    topic.isLost = true;
+    noteLost(topic);
     answerAll(read->topic);
     // A peer answers with all keys at once, so later pages can only be the store's.
     if (!m_isStarted || !read->after.empty()) {
@@ -305,7 +366,7 @@
     m_selector.onAsked(m_timers.now());
     Topic &topic = m_topics[question->topic];
     Waiting waiting{*question, m_timers.now(), responder, NoTimer};
-    const bool isOutdated = topic.isLost && topic.provenAt
+    const bool isOutdated = topic.lostAt && topic.provenAt
                             && m_timers.now() - *topic.provenAt > m_options.maxLostProofAge;
     if (canAnswer(topic, *question) || isOutdated) {
         answer(topic, waiting);
@@ -364,11 +425,14 @@
     tail->origin.provenAfter.reset();
     if (topic.provenAt)
         tail->origin.provenAfter = *topic.provenAt - waiting.arrivedAt;
-    if (topic.isLost)
+    if (topic.lostAt) {
         tail->origin.sinceOutage = Duration::zero();
-    else if (topic.outageAt)
+        tail->origin.outageLength = m_timers.now() - *topic.lostAt;
+    } else if (topic.outageAt) {
         tail->origin.sinceOutage =
                 std::max(m_timers.now() - *topic.outageAt, Duration(std::chrono::milliseconds(1)));
+        tail->origin.outageLength = topic.outageLength;
+    }
     waiting.responder(encodeTopicTail(*tail));
 }
 
--- a/src/daemon/topicexchange.h
+++ b/src/daemon/topicexchange.h
@@ -9,7 +9,9 @@
 #include "daemon/peerlink.h"
 #include "daemon/topicmessages.h"
 #include "log/keyedtopicmirror.h"
+#include "log/storeoutages.h"
 #include "membership/readerselector.h"
+#include "observe/metrics.h"
 
 namespace currantwalk {
 
@@ -46,7 +48,7 @@
     };
 
     TopicExchange(const Options &options, ReaderSelector &selector, PeerLink &peers,
-                  TimerService &timers, RandomSource &random);
+                  TimerService &timers, RandomSource &random, Metrics &metrics);
     ~TopicExchange();
     TopicExchange(const TopicExchange &) = delete;
     TopicExchange &operator=(const TopicExchange &) = delete;
@@ -74,9 +76,12 @@
         KeyedTopicHooks store;
         KeyedTopicMirror mirror;
         std::optional<TimePoint> provenAt;
+        StoreOutages outages;
         std::optional<TimePoint> outageAt; ///< When the last outage of the store ended.
+        Duration outageLength{0};
+        std::optional<TimePoint> claimedAt; ///< The latest end of an outage that a peer told of.
         std::optional<TimePoint> restoredAt;
-        bool isLost = false; ///< The last read of the store failed.
+        std::optional<TimePoint> lostAt; ///< Since when reads of the store have failed.
         std::map<std::uint64_t, Waiting> waiting;
         TimerId answerTimer = NoTimer;
         TimerId overdueTimer = NoTimer; ///< Set while the store is being read.
@@ -90,6 +95,9 @@
     void handleAnswer(const std::shared_ptr<Read> &read, const ReaderSelector::Peer &peer,
                       const absl::StatusOr<Json::Value> &result);
     void watchStore(SharedTopic name, Duration wait);
+    void noteLost(Topic &topic);
+    void noteRead(SharedTopic name, TimePoint provenAt);
+    bool notePeerOutage(SharedTopic name, Duration sinceOutage, Duration length);
     void readStore(const std::shared_ptr<Read> &read);
     void handleStoreFailure(const std::shared_ptr<Read> &read, const absl::Status &status);
     bool isRecent(SharedTopic name, const ReadingOrigin &origin) const;
@@ -109,6 +117,7 @@
     PeerLink &m_peers;
     TimerService &m_timers;
     RandomSource &m_random;
+    Metrics &m_metrics;
     std::map<SharedTopic, Topic> m_topics;
     std::uint64_t m_lastQuestion = 0;
     bool m_isStarted = false;
--- a/src/daemon/topicmessages.cpp
+++ b/src/daemon/topicmessages.cpp
@@ -62,8 +62,10 @@
     json["next"] = Json::UInt64(tail.next);
     if (tail.origin.provenAfter)
         json["proven_us"] = Json::Int64(tail.origin.provenAfter->count());
-    if (tail.origin.sinceOutage)
+    if (tail.origin.sinceOutage) {
         json["outage_us"] = Json::UInt64(tail.origin.sinceOutage->count());
+        json["outage_length_us"] = Json::UInt64(tail.origin.outageLength.count());
+    }
     Json::Value &rows = json["records"] = Json::Value(Json::arrayValue);
     for (const KeyedRecord &record : tail.records) {
         // Such a key names nothing that nodes use, and the message could not be read.
@@ -121,6 +123,13 @@
             return outage.status();
         tail.origin.sinceOutage = Duration(static_cast<Duration::rep>(*outage));
     }
+    // Not sent by earlier versions, whose outages are not known to have been long enough to count.
+    if (json.isMember("outage_length_us")) {
+        const absl::StatusOr<std::uint64_t> length = unsignedMember(json, "outage_length_us");
+        if (!length.ok())
+            return length.status();
+        tail.origin.outageLength = Duration(static_cast<Duration::rep>(*length));
+    }
     for (const Json::Value &row : json["records"]) {
         absl::StatusOr<KeyedRecord> record = decodeRecord(row);
         if (!record.ok())
--- a/src/log/keyedtopicfollower.cpp
+++ b/src/log/keyedtopicfollower.cpp
@@ -144,7 +144,7 @@
         break;
     }
     if (page->origin.sinceOutage && m_events.onPeerOutage)
-        m_events.onPeerOutage(*page->origin.sinceOutage);
+        m_events.onPeerOutage(*page->origin.sinceOutage, page->origin.outageLength);
     // The tail is read from the first page's end, so that it includes changes made between pages.
     // The scan is as recent as its oldest page.
     if (!m_readFrom) {
@@ -286,7 +286,7 @@
     }
     handleSuccess();
     if (tail->origin.sinceOutage && m_events.onPeerOutage)
-        m_events.onPeerOutage(*tail->origin.sinceOutage);
+        m_events.onPeerOutage(*tail->origin.sinceOutage, tail->origin.outageLength);
     m_readFrom = tail->next;
     for (const KeyedRecord &record : tail->records)
         handleRecord(record);
--- a/src/log/keyedtopicfollower.h
+++ b/src/log/keyedtopicfollower.h
@@ -38,6 +38,8 @@
     /// Time since the peer that answered last failed to read the store; nothing if it never did, or
     /// if the store itself answered.
     std::optional<Duration> sinceOutage;
+    /// Length of the time in which it failed to read the store until then.
+    Duration outageLength{0};
 };
 
 /// A page of the newest records of all keys. The pages together are not a consistent snapshot.
@@ -92,8 +94,9 @@
     /// All records before \a next have been reported. Called after a scan and after each read of
     /// the tail, before onUpToDate.
     std::function<void(std::uint64_t era, LogOffset next)> onPosition;
-    /// A peer that passes on the topic could not read the store until \a sinceOutage ago.
-    std::function<void(Duration sinceOutage)> onPeerOutage;
+    /// A peer that passes on the topic could not read the store for \a length until \a sinceOutage
+    /// ago.
+    std::function<void(Duration sinceOutage, Duration length)> onPeerOutage;
     /// A scan ended early: the keys after \a after can't be read, because of \a status. Only called
     /// with Options::areRecordsRenewed.
     std::function<void(const std::string &after, const absl::Status &status)> onScanIncomplete;
--- a/src/targets/servicetargets.cpp
+++ b/src/targets/servicetargets.cpp
@@ -77,25 +77,45 @@
     known->second.hasEntry = false;
     if (known->second.phase == TargetPhase::Leaving)
         return;
-    if (!isExpiredInOutage()) {
+    const std::optional<TimePoint> lapsedUntil = lapseEnd();
+    if (!lapsedUntil) {
         leave(known->second);
         return;
     }
     known->second.phase = TargetPhase::Lapsed;
     known->second.phaseSince = m_timers.now();
+    known->second.lapsedUntil = *lapsedUntil;
 }
 
-bool ServiceTargets::isExpiredInOutage() const
+// Returns until when an entry that is removed now may reappear; nothing if it has not expired in an
+// outage. The time runs from the end of the outage, however late the entry is removed.
+std::optional<TimePoint> ServiceTargets::lapseEnd() const
 {
-    return m_isStoreLost
-           || (m_storeRecoveredAt
-               && m_timers.now() - *m_storeRecoveredAt < m_options.outageExpiryWindow);
+    const TimePoint now = m_timers.now();
+    if (m_storeLostAt)
+        return now + m_options.lapseGrace;
+    if (!m_storeRecoveredAt || now >= *m_storeRecoveredAt + m_options.lapseGrace)
+        return std::nullopt;
+    return *m_storeRecoveredAt + m_options.lapseGrace;
+}
+
+bool ServiceTargets::isLapseOver(const ServiceTarget &target) const
+{
+    return !m_storeLostAt && m_timers.now() >= target.lapsedUntil;
+}
+
+void ServiceTargets::onStoreLost()
+{
+    if (!m_storeLostAt)
+        m_storeLostAt = m_timers.now();
 }
 
 void ServiceTargets::onStoreRecovered()
 {
-    m_isStoreLost = false;
-    m_storeRecoveredAt = m_timers.now();
+    const TimePoint now = m_timers.now();
+    if (m_storeLostAt && now - *m_storeLostAt >= m_options.minOutage)
+        m_storeRecoveredAt = now;
+    m_storeLostAt.reset();
 }
 
 void ServiceTargets::onPeerOutage(Duration sinceOutage)
@@ -157,8 +177,7 @@
     for (auto it = m_targets.begin(); it != m_targets.end();) {
         ServiceTarget &target = it->second;
         const Duration since = now - target.phaseSince;
-        const bool isGraceOver = !m_isStoreLost && since >= m_options.lapseGrace;
-        if (target.phase == TargetPhase::Lapsed && isGraceOver)
+        if (target.phase == TargetPhase::Lapsed && isLapseOver(target))
             leave(target);
         // An entry that still says that the target is ready would bring it back.
         const bool isContradicted = target.hasEntry && !target.entry.isLeaving;
@@ -179,7 +198,7 @@
             continue;
         if (target.phase == TargetPhase::Ready)
             ready.push_back(&target);
-        else if (target.phase == TargetPhase::Lapsed)
+        else if (target.phase == TargetPhase::Lapsed && !isLapseOver(target))
             lapsed.push_back(&target);
     }
     return ready.empty() ? lapsed : ready;
--- a/src/targets/servicetargets.h
+++ b/src/targets/servicetargets.h
@@ -48,6 +48,7 @@
     TimePoint assumedColdUntil{};
     bool isLeavingAnnounced = false; ///< Set if the target itself announced that it is leaving.
     bool hasEntry = true;            ///< Whether the store still has its entry.
+    TimePoint lapsedUntil{};         ///< When a lapsed target's entry should have reappeared.
 };
 
 /// Identifies one start of a target that has announced that it is leaving.
@@ -64,11 +65,11 @@
     struct Options
     {
         /// How long after the store has recovered an entry that expired during the outage may take
-        /// to reappear. The platform's documentation states about two seconds.
+        /// to reappear. The platform's documentation states about two seconds. An entry removed
+        /// later has not expired during the outage.
         Duration lapseGrace = std::chrono::milliseconds(2000);
-        /// Entries removed within this time after the store has recovered count as expired during
-        /// the outage.
-        Duration outageExpiryWindow = std::chrono::milliseconds(2500);
+        /// Entries don't expire in a shorter outage, which may be this node's alone.
+        Duration minOutage = std::chrono::milliseconds(1000);
         /// How long peers are notified of a leaving target. It stops within about two seconds, and
         /// a message may be lost.
         Duration leavingNoticePeriod = std::chrono::milliseconds(3000);
@@ -102,7 +103,7 @@
     /// emptied.
     void assumeCold(const ZoneName &zone,
                     const std::function<Duration(const std::string &service)> &coldTime);
-    void onStoreLost() { m_isStoreLost = true; }
+    void onStoreLost();
     void onStoreRecovered();
     /// Called when the peer that reads the store for this node could not do so until
     /// \a sinceOutage ago.
@@ -141,14 +142,15 @@
 
 private:
     void leave(ServiceTarget &target);
-    bool isExpiredInOutage() const;
+    std::optional<TimePoint> lapseEnd() const;
+    bool isLapseOver(const ServiceTarget &target) const;
 
     Options m_options;
     Hooks m_hooks;
     TimerService &m_timers;
     std::map<TargetId, ServiceTarget> m_targets;
     std::optional<TimePoint> m_storeRecoveredAt;
-    bool m_isStoreLost = false;
+    std::optional<TimePoint> m_storeLostAt; ///< Set while the store can't be read.
 };
 
 } // namespace currantwalk
--- a/src/targets/tests/servicetargetstest.cpp
+++ b/src/targets/tests/servicetargetstest.cpp
@@ -192,6 +192,44 @@
     LONGS_EQUAL(0, usable());
 }
 
+// Guards against a server that stays in use for longer than it serves after its entry was removed:
+// the time to reappear runs from the end of the outage.
+TEST(ServiceTargets, anEntryRemovedLateAfterAnOutageIsGoneSoon)
+{
+    targets.update(TargetId("a"), entry());
+    targets.onStoreLost();
+    timers.advance(10s);
+    targets.onStoreRecovered();
+    timers.advance(1900ms);
+    targets.remove(TargetId("a"));
+    LONGS_EQUAL(1, usable());
+    timers.advance(100ms);
+    LONGS_EQUAL(0, usable());
+    targets.expire();
+    LONGS_EQUAL(1, left.size());
+}
+
+TEST(ServiceTargets, anEntryRemovedAfterTheGraceIsGoneAtOnce)
+{
+    targets.update(TargetId("a"), entry());
+    targets.onPeerOutage(2000ms);
+    targets.remove(TargetId("a"));
+    LONGS_EQUAL(0, usable());
+}
+
+// A refused or lost call is no outage in which entries expire.
+TEST(ServiceTargets, entryRemovedAfterAShortFailureIsGone)
+{
+    targets.update(TargetId("a"), entry());
+    targets.onStoreLost();
+    timers.advance(900ms);
+    targets.onStoreLost();
+    timers.advance(99ms);
+    targets.onStoreRecovered();
+    targets.remove(TargetId("a"));
+    LONGS_EQUAL(0, usable());
+}
+
 TEST(ServiceTargets, findsAnotherTargetAlsoWhereNoneTakesWork)
 {
     const auto add = [this](const char *id, const char *service, std::uint16_t port,
