RelayCall: a moved run that can't be reached does not hold its stream

A move waits for the end of its run since. Where the target can neither be called nor sends events any more, the stream would have stayed until its deadline. It now goes on from its copy after 300 ms without an event; as long as events come, it stays. RunStopper tells again when the run of a target that could not be reached has ended after all, and a run that is known to have ended gets no further series of calls.

--- a/src/calls/relaycall.cpp
+++ b/src/calls/relaycall.cpp
@@ -217,6 +217,8 @@
                                    "an event of the stream is too large for the memory left"));
         return;
     }
+    if (m_releaseTimer != NoTimer && isRunOfMoveEnding())
+        watchMovedRun();
     if (m_isTargetLeaving)
         beginMove();
 }
--- a/src/calls/relaycall.h
+++ b/src/calls/relaycall.h
@@ -166,7 +166,8 @@
     static constexpr std::uint32_t MaxUnexecutedSends = 4;
     /// Number of destinations tried for one stream before it stays at its target.
     static constexpr std::uint32_t MaxMoves = 5;
-    /// Time for which a stream whose connection was lost waits for the end of its run.
+    /// Time for which a stream whose connection was lost waits for the end of its run, and without
+    /// an event after which a run that is moved and can't be ended counts as lost.
     static constexpr Duration ReleaseTimeout = std::chrono::milliseconds(300);
     /// Number of times that a request to resume is sent until it reaches its target.
     static constexpr std::uint32_t MaxResumeSends = 3;
@@ -234,6 +235,7 @@
     bool endRunFirst(const absl::Status &reason);
     bool endResumedRunFirst(const absl::Status &reason);
     void limitWaitForEnd();
+    void watchMovedRun();
     void goOnElsewhere();
     bool mayResumeElsewhere() const;
     bool resumeFromBackup(const absl::Status &reason);
--- a/src/calls/relaycallmoves.cpp
+++ b/src/calls/relaycallmoves.cpp
@@ -133,14 +133,27 @@
     return m_lastEvent && (m_backup || m_request.rule == RetrySemantics::ResumableStream);
 }
 
-// A run that is moved and can't be ended goes on; its copy is of use when it is lost.
+// A run that is moved and can't be ended goes on as long as its events come; its copy is of use
+// when it is lost. Its target can't be reached if there are none.
+void RelayCall::watchMovedRun()
+{
+    m_timers.cancel(m_releaseTimer);
+    m_releaseTimer = m_timers.scheduleAfter(ReleaseTimeout, [this] {
+        m_releaseTimer = NoTimer;
+        onSourceLost(makeError(ErrorCode::ConnectionLost, "the target can't be reached"));
+        goOnElsewhere();
+    });
+}
+
 void RelayCall::onRunReleased(std::uint64_t exchange, bool hasEnded)
 {
     if (isSettled() || exchange != m_endingExchange || exchange == 0)
         return;
     if (isRunOfMoveEnding()) {
-        if (!hasEnded)
+        if (!hasEnded) {
+            watchMovedRun();
             return;
+        }
         onSourceLost(makeError(ErrorCode::ConnectionLost,
                                "the stream moves to the target that holds its copy"));
     }
--- a/src/calls/runstopper.cpp
+++ b/src/calls/runstopper.cpp
@@ -62,6 +62,7 @@
         entry.addedAt = m_timers.now();
     }
     entry.onReleased = std::move(onReleased);
+    entry.isUnreachableTold = false;
     schedule(number, delay);
 }
 
@@ -148,8 +149,12 @@
         end(number, answer.result);
         return;
     }
-    if (answer.result == RunStopResult::Unreachable && entry.onReleased)
-        std::exchange(entry.onReleased, nullptr)(answer.result);
+    if (answer.result == RunStopResult::Unreachable && entry.onReleased
+        && !std::exchange(entry.isUnreachableTold, true)) {
+        // The callback may add or cancel runs.
+        const ReleaseCallback onReleased = entry.onReleased;
+        onReleased(answer.result);
+    }
 }
 
 // Where the answer calls for another pause than the one after each call.
--- a/src/calls/runstopper.h
+++ b/src/calls/runstopper.h
@@ -100,7 +100,8 @@
 
     void add(AbandonedRun run);
     /// Makes the first call at once, since something waits for the end of the run. Calls \a
-    /// onReleased once: when the run has ended, can't be reached, or goes on in spite of all calls.
+    /// onReleased when the target can't be reached for the first time, and when no further call is
+    /// made: the run has ended, or goes on in spite of all calls.
     void addUrgent(AbandonedRun run, ReleaseCallback onReleased);
     /// Called when the request \a id is about to be sent to \a target again. A stop would end the
     /// new run.
@@ -116,6 +117,7 @@
         AbandonedRun run;
         TimePoint addedAt{};
         ReleaseCallback onReleased{};
+        bool isUnreachableTold = false;
         std::uint32_t calls = 0;            ///< That were made.
         std::uint32_t busyCalls = 0;        ///< That were answered by Busy.
         std::uint32_t unreachableCalls = 0; ///< That did not reach the target.
--- a/src/calls/tests/relaycalltest.cpp
+++ b/src/calls/tests/relaycalltest.cpp
@@ -394,6 +394,27 @@
     LONGS_EQUAL(1, dropped.size());
 }
 
+// Guards against a stream that stays for good at a target that has become unreachable.
+TEST(RelayCall, movedStreamOfATargetThatIsSilentAndCannotBeReachedGoesOn)
+{
+    beginStream();
+    call->onTargetLeaving();
+    completeCopy();
+    timers.advance(3s);
+    call->onRunReleased(ending.at(0), false);
+    for (int number = 3; number < 8; ++number) {
+        timers.advance(RelayCall::ReleaseTimeout - 1ms);
+        LONGS_EQUAL(1, sent.size());
+        call->onBody(sent[0].exchange, event(number));
+    }
+    timers.advance(RelayCall::ReleaseTimeout);
+    LONGS_EQUAL(2, sent.size());
+    LONGS_EQUAL(7, sent[1].resume->lastEvent);
+    CHECK(abandoned.count(sent[0].exchange) == 1);
+    call->onRunReleased(ending.at(0), true);
+    LONGS_EQUAL(2, sent.size());
+}
+
 TEST(RelayCall, runIsNotEndedForATargetThatTakesNothing)
 {
     beginStream();
--- a/src/daemon/relaysessionruns.cpp
+++ b/src/daemon/relaysessionruns.cpp
@@ -21,6 +21,9 @@
             return;
         const bool hasEnded =
                 result == RunStopResult::Stopped || result == RunStopResult::NoSuchRun;
+        const auto it = m_exchanges.find(exchange);
+        if (it != m_exchanges.end() && hasEnded)
+            it->second.isRunOver = true;
         m_call->onRunReleased(exchange, hasEnded);
         finishIfSettled();
     };
