--- a/src/daemon/tests/poisonsoak.cpp
+++ b/src/daemon/tests/poisonsoak.cpp
@@ -21,15 +21,17 @@
 static constexpr Duration Rundown = 30s;
 static constexpr Duration LookalikeGap = 100ms;
 
-PoisonSoak::PoisonSoak(std::uint64_t seed, std::size_t nodes, bool doServersNameLimits,
-                       bool isPlatformVaried, bool areAnswersVaried)
+PoisonSoak::PoisonSoak(std::uint64_t seed, std::size_t nodes) : PoisonSoak(seed, nodes, Variation())
+{
+}
+
+PoisonSoak::PoisonSoak(std::uint64_t seed, std::size_t nodes, const Variation &variation)
     : m_random(seed),
       m_limitRandom(seed ^ 0x4c),
       m_platformRandom(seed ^ 0x7e),
       m_answerRandom(seed ^ 0xa5),
-      m_doServersNameLimits(doServersNameLimits),
-      m_isPlatformVaried(isPlatformVaried),
-      m_areAnswersVaried(areAnswersVaried),
+      m_callRandom(seed ^ 0xc1),
+      m_variation(variation),
       m_fleet(fleetOptions(seed, nodes)),
       m_parts(m_fleet, partOptions(),
               {[this](const std::string &host, TimePoint when) { return isInTouch(host, when); },
@@ -84,6 +86,73 @@
     stopNodes(Span);
 }
 
+void PoisonSoak::varyCalls()
+{
+    for (const std::unique_ptr<SimServer> &server : m_fleet.servers) {
+        if (server->options.service != "engines")
+            continue;
+        server->options.dropsRuns = m_callRandom.chance(0.3);
+        server->options.givesCopies = true;
+        if (m_callRandom.chance(0.7))
+            server->options.failedCallShare = 0.5 * m_callRandom.uniform();
+    }
+    haltNodes(Span);
+    removeEntries(Span);
+}
+
+// Pauses come in series and overlap.
+void PoisonSoak::haltNodes(Duration span)
+{
+    const Duration pause = 500ms + m_callRandom.jitter(8s);
+    if (span < pause)
+        return;
+    m_fleet.timers.scheduleAfter(pause, [this, left = span - pause] {
+        const std::size_t node = m_callRandom.uniformBelow(m_fleet.nodeCount());
+        const Duration halt = 1s + m_callRandom.jitter(4s);
+        const bool areTimersFirst = m_callRandom.chance(0.5);
+        if (m_fleet.isUp(node) && m_halted.insert(node).second) {
+            noteNode(node, halt);
+            m_fleet.pauseNode(node);
+            m_fleet.timers.scheduleAfter(halt, [this, node, areTimersFirst] {
+                m_halted.erase(node);
+                if (m_fleet.isUp(node))
+                    m_fleet.resumeNode(node, areTimersFirst);
+            });
+        }
+        haltNodes(left);
+    });
+}
+
+// The servers serve for longer than they may be sent requests.
+void PoisonSoak::removeEntries(Duration span)
+{
+    const Duration pause = 500ms + m_callRandom.jitter(4s);
+    if (span < pause)
+        return;
+    m_fleet.timers.scheduleAfter(pause, [this, left = span - pause] {
+        SimServer &server = *m_fleet.servers[m_callRandom.uniformBelow(m_fleet.servers.size())];
+        server.options.announcesLeaving = false;
+        server.options.leavingTime = 4s;
+        server.leave();
+        removeEntries(left);
+    });
+}
+
+std::string PoisonSoak::findLateArrivals() const
+{
+    const SimExcuse isExcused = [this](const std::string &host, TimePoint from, TimePoint until) {
+        return std::any_of(m_disruptions.begin(), m_disruptions.end(), [&](const Disruption &each) {
+            const bool isMeant = each.host.empty() || each.host == host;
+            return isMeant && each.concern != Concern::Servers && each.from <= until
+                   && from <= each.until + Window;
+        });
+    };
+    std::size_t late = 0;
+    for (const std::unique_ptr<SimServer> &server : m_fleet.servers)
+        late += server->arrivalsAfterRemoval(LeavingSlack, isExcused);
+    return late == 0 ? "" : "servers got " + std::to_string(late) + " requests after removal; ";
+}
+
 void PoisonSoak::loseAnswers(Duration span)
 {
     const Duration pause = 200ms + m_answerRandom.jitter(4s);
@@ -504,12 +573,14 @@
     m_fleet.startInnocents(150ms, Span);
     sendLookalikes(Span);
     m_parts.start();
-    if (m_doServersNameLimits)
+    if (m_variation.limits)
         nameLimits(Span);
-    if (m_isPlatformVaried)
+    if (m_variation.platform)
         varyPlatform();
-    if (m_areAnswersVaried)
+    if (m_variation.answers)
         varyAnswers();
+    if (m_variation.calls)
+        varyCalls();
     // Where disruptions are rare, nodes are in touch for longer, and more is asked of them.
     const Duration maxPause = m_random.chance(0.5) ? 3s : 15s;
     for (Duration elapsed(0); elapsed < Span;) {
@@ -536,8 +607,12 @@
                                 + " times after it should have been refused; ";
     }
     report.violation += findServerViolations();
-    if (m_isPlatformVaried)
-        report.violation += findOverlaps() + findRunsWithoutKey();
+    if (m_variation.platform || m_variation.calls)
+        report.violation += findOverlaps();
+    if (m_variation.calls)
+        report.violation += findLateArrivals();
+    if (m_variation.platform)
+        report.violation += findRunsWithoutKey();
     if (m_fleet.poison.served > 0)
         report.violation += "a poisonous request was served; ";
     if (m_fleet.poison.open + m_fleet.innocents.open > 0)
--- a/src/daemon/tests/poisonsoak.h
+++ b/src/daemon/tests/poisonsoak.h
@@ -33,14 +33,25 @@
         std::uint64_t digest = 0; ///< Of all arrivals at servers; the same for runs that are alike.
     };
 
-    /// Chooses the number of nodes by the seed if \a nodes is 0. With \a doServersNameLimits,
-    /// servers name limits of requests at random times too. With \a isPlatformVaried, engines may
-    /// go on with runs whose connections are closed, other writers' keys stand among those of the
-    /// servers, the store lists them in pages, and the last organisation goes at the end. With
-    /// \a areAnswersVaried too, engines take time for copies, servers lose answers whose runs go
-    /// on, callers may read slowly, and nodes are stopped as planned.
-    explicit PoisonSoak(std::uint64_t seed, std::size_t nodes = 0, bool doServersNameLimits = false,
-                        bool isPlatformVaried = false, bool areAnswersVaried = false);
+    /// What varies beside crashes, disruptions and what servers say of themselves.
+    struct Variation
+    {
+        bool limits = false; ///< Servers name limits of requests at random times.
+        /// Engines may go on with runs whose connections are closed, other writers' keys stand
+        /// among those of the servers, the store lists them in pages, and the last organisation
+        /// goes at the end.
+        bool platform = false;
+        /// Engines take time for copies, servers lose answers whose runs go on, callers may read
+        /// slowly, and nodes are stopped as planned.
+        bool answers = false;
+        /// Engines go on with runs and fail part of the calls about them in any way, nodes stand
+        /// still, and servers' entries are removed without notice.
+        bool calls = false;
+    };
+
+    /// Chooses the number of nodes by the seed if \a nodes is 0.
+    explicit PoisonSoak(std::uint64_t seed, std::size_t nodes = 0);
+    PoisonSoak(std::uint64_t seed, std::size_t nodes, const Variation &variation);
 
     Report run();
 
@@ -71,6 +82,10 @@
     void varyPlatform();
     void writeForeignKeys(Duration span);
     void varyAnswers();
+    void varyCalls();
+    void haltNodes(Duration span);
+    void removeEntries(Duration span);
+    std::string findLateArrivals() const;
     void loseAnswers(Duration span);
     void stopNodes(Duration span);
     void killWhenStopped(std::size_t node, TimePoint killedAt);
@@ -93,13 +108,13 @@
     RandomSource m_limitRandom;
     RandomSource m_platformRandom;
     RandomSource m_answerRandom;
-    const bool m_doServersNameLimits;
-    const bool m_isPlatformVaried;
-    const bool m_areAnswersVaried;
+    RandomSource m_callRandom;
+    const Variation m_variation;
     EntryFleet m_fleet;
     std::vector<Disruption> m_disruptions;
     std::vector<std::string> m_paths; ///< Of the poisonous requests.
     std::set<std::string> m_heldUp;   ///< Hosts to which messages take long.
+    std::set<std::size_t> m_halted;   ///< Nodes that stand still.
     PromptPartLoad m_parts;
 };
 
--- a/src/daemon/tests/poisonsoakmain.cpp
+++ b/src/daemon/tests/poisonsoakmain.cpp
@@ -17,6 +17,7 @@
     int doServersNameLimits = 0;
     int isPlatformVaried = 0;
     int areAnswersVaried = 0;
+    int areCallsVaried = 0;
     const poptOption options[] = {
             {"first-seed", 0, POPT_ARG_LONGLONG, &firstSeed, 0, "first seed to run", "N"},
             {"seeds", 0, POPT_ARG_LONGLONG, &seeds, 0, "number of seeds", "M"},
@@ -26,6 +27,9 @@
              "engines that keep runs, other writers' keys, the last organisation goes", nullptr},
             {"answers", 0, POPT_ARG_NONE, &areAnswersVaried, 0,
              "copies that take time, answers that are lost, slow callers, planned stops", nullptr},
+            {"calls", 0, POPT_ARG_NONE, &areCallsVaried, 0,
+             "calls about runs that fail, nodes that stand still, entries that are removed",
+             nullptr},
             POPT_AUTOHELP POPT_TABLEEND};
     const poptContext context = poptGetContext("daemonpoisonsoak", argc, argv, options, 0);
     const int result = poptGetNextOpt(context);
@@ -42,7 +46,8 @@
     for (long long seed = firstSeed; seed < firstSeed + seeds; ++seed) {
         const PoisonSoak::Report report =
                 PoisonSoak(static_cast<std::uint64_t>(seed), static_cast<std::size_t>(nodes),
-                           doServersNameLimits != 0, isPlatformVaried != 0, areAnswersVaried != 0)
+                           {doServersNameLimits != 0, isPlatformVaried != 0, areAnswersVaried != 0,
+                            areCallsVaried != 0})
                         .run();
         failed += report.violation.empty() ? 0 : 1;
         served += report.served;
--- a/src/daemon/tests/poisonsoaktest.cpp
+++ b/src/daemon/tests/poisonsoaktest.cpp
@@ -47,7 +47,7 @@
 TEST(PoisonSoak, boundsHoldOnVariedPlatforms)
 {
     for (std::uint64_t seed = 1; seed <= 4; ++seed) {
-        const PoisonSoak::Report report = PoisonSoak(seed, 7, false, true).run();
+        const PoisonSoak::Report report = PoisonSoak(seed, 7, {.platform = true}).run();
         STRCMP_EQUAL("", report.violation.c_str());
     }
 }
@@ -57,7 +57,18 @@
 TEST(PoisonSoak, boundsHoldWhileAnswersAreLostAndNodesStop)
 {
     for (std::uint64_t seed = 1; seed <= 4; ++seed) {
-        const PoisonSoak::Report report = PoisonSoak(seed, 7, false, true, true).run();
+        const PoisonSoak::Report report =
+                PoisonSoak(seed, 7, {.platform = true, .answers = true}).run();
+        STRCMP_EQUAL("", report.violation.c_str());
+    }
+}
+
+// Guards against runs beside their continuations and against removed servers that stay in use,
+// where calls about runs fail and nodes stand still.
+TEST(PoisonSoak, boundsHoldWhileCallsFailAndNodesStandStill)
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        const PoisonSoak::Report report = PoisonSoak(seed, 7, {.calls = true}).run();
         STRCMP_EQUAL("", report.violation.c_str());
     }
 }
@@ -65,7 +76,7 @@
 TEST(PoisonSoak, limitsHoldUnderRandomFaults)
 {
     for (std::uint64_t seed = 1; seed <= 4; ++seed) {
-        const PoisonSoak::Report report = PoisonSoak(seed, 7, true).run();
+        const PoisonSoak::Report report = PoisonSoak(seed, 7, {.limits = true}).run();
         STRCMP_EQUAL("", report.violation.c_str());
     }
 }
--- a/src/daemon/tests/simserver.cpp
+++ b/src/daemon/tests/simserver.cpp
@@ -133,10 +133,12 @@
     if (!m_isUp)
         return;
     m_isLeaving = true;
-    if (options.announcesLeaving)
+    if (options.announcesLeaving) {
         writeEntry(true);
-    else
+    } else {
         m_store.append(TargetsTopic, m_id, std::nullopt);
+        m_removals[m_start] = m_net.timers().now();
+    }
     m_net.timers().scheduleAfter(options.leavingTime, [this, start = m_start] {
         if (!m_isUp || start != m_start)
             return;
@@ -287,6 +289,17 @@
             }));
 }
 
+std::size_t SimServer::arrivalsAfterRemoval(Duration slack, const SimExcuse &isExcused) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_arrivals.begin(), m_arrivals.end(), [&](const SimArrival &arrival) {
+                const auto removal = m_removals.find(arrival.start);
+                return !arrival.isCopyCall && !arrival.isDropCall && removal != m_removals.end()
+                       && arrival.when > removal->second + slack
+                       && !(isExcused && isExcused(arrival.host, removal->second, arrival.when));
+            }));
+}
+
 // Returns the log of the crash that the request is going to cause, if any.
 std::optional<std::string> SimServer::notePoison(const HttpRequest &request)
 {
@@ -371,6 +384,7 @@
     m_arrivals.back().isCopyCall =
             exchange->request().path == CopyPath || exchange->request().path == StopPath;
     m_arrivals.back().isStopCall = exchange->request().path == StopPath;
+    m_arrivals.back().isDropCall = exchange->request().method == "DELETE";
     if (m_arrivals.back().isStopCall) {
         stopRun(exchange);
         return;
--- a/src/daemon/tests/simserver.h
+++ b/src/daemon/tests/simserver.h
@@ -37,6 +37,7 @@
     std::optional<TimePoint> toldLeavingAt{};
     bool isStopCall = false; ///< Stops a run.
     bool isCopyCall = false; ///< Asks for a copy of a stream that a client asked for before.
+    bool isDropCall = false; ///< Frees a copy.
     /// When the answer began, if it named a limit of requests.
     std::optional<TimePoint> toldLimitAt{};
 };
@@ -163,6 +164,10 @@
     /// away are left out.
     std::size_t arrivalsAfterLeaving(Duration slack, const SimExcuse &isExcused = nullptr) const;
 
+    /// Returns the number of requests that one start of the server got later than \a slack after it
+    /// had left and its entry had been removed without a word. Calls about runs are left out.
+    std::size_t arrivalsAfterRemoval(Duration slack, const SimExcuse &isExcused = nullptr) const;
+
     /// Returns by how many requests one start of the server got more, in some 4 s, than its limit
     /// allows, from nodes that it had told of the limit half a second before. Counts from
     /// LimitNotice after it had first named a limit, or had changed it.
@@ -223,6 +228,7 @@
     std::vector<std::shared_ptr<Work>> m_work;
     std::vector<std::shared_ptr<HttpExchange>> m_hungCalls;
     std::vector<SimArrival> m_arrivals;
+    std::map<std::uint64_t, TimePoint> m_removals; ///< Of its entry, by start.
     std::vector<SimRun> m_runs;
     std::vector<LimitChange> m_limits;
     std::vector<std::pair<TimePoint, TimePoint>> m_coldTimes; ///< From when until when it was cold.
