RelayCall: the end of a run that is moved never passes for a whole stream

Since a move ends its run while the stream is read. Where the answer has no length and ends with its connection, the end of the run looked like the end of the stream: its caller would have got a part as the whole.

HttpResponseHead tells how an answer ends. The handle that the call to end a run returns is not freed where the stream goes on from that copy, or from one that is still being made.

--- a/src/calls/relaycall.cpp
+++ b/src/calls/relaycall.cpp
@@ -132,6 +132,7 @@
         return;
     }
     m_head = head;
+    m_endsWithConnection = head.endsWithConnection;
     if (head.isMismatched) {
         onUnusableAnswer(
                 makeError(ErrorCode::TargetProtocolError, "the answer does not match the request"));
--- a/src/calls/relaycall.h
+++ b/src/calls/relaycall.h
@@ -45,9 +45,10 @@
     bool isTargetReplaced = false; ///< Another target now has the address; nothing has run.
     /// The answer belongs to another request, or was altered in transit.
     bool isMismatched = false;
-    bool isSigned = false;        ///< Carries the target's signature.
-    bool isTargetLeaving = false; ///< The target says that it is leaving.
-    Duration retryAfter{0};       ///< Given by the target; 0 if it gave none.
+    bool isSigned = false;           ///< Carries the target's signature.
+    bool isTargetLeaving = false;    ///< The target says that it is leaving.
+    bool endsWithConnection = false; ///< The end of the answer is the end of its connection.
+    Duration retryAfter{0};          ///< Given by the target; 0 if it gave none.
     LimitNotice limit;
 };
 
@@ -278,6 +279,7 @@
     bool m_hasIrregularSteps = false; ///< The differences of event numbers vary.
     bool m_isFirstEventAfterResume = false; ///< No event has arrived since the stream resumed.
     bool m_isForwarding = false;            ///< The answer's head has been forwarded.
+    bool m_endsWithConnection = false;      ///< The answer of the current exchange.
 
     // Move of a stream away from a target that is leaving or lost.
     bool m_isTargetLeaving = false;
--- a/src/calls/relaycallmoves.cpp
+++ b/src/calls/relaycallmoves.cpp
@@ -76,6 +76,12 @@
         return;
     }
     m_copy = copy;
+    // The end of a run that is told to end would pass for the end of the whole stream.
+    if (m_endsWithConnection) {
+        endRunFirst(makeError(ErrorCode::ConnectionLost,
+                              "the stream moves to the target that holds its copy"));
+        return;
+    }
     m_endingExchange = m_exchange;
     m_hooks.endMovedRun(m_exchange, copy);
 }
@@ -262,6 +268,7 @@
         return;
     }
     m_exchange = std::exchange(m_resumeExchange, 0);
+    m_endsWithConnection = head.endsWithConnection;
     if (m_copy)
         m_target = m_copy->holder;
     m_backup = std::exchange(m_nextBackup, std::nullopt);
--- a/src/calls/runstopper.cpp
+++ b/src/calls/runstopper.cpp
@@ -117,7 +117,8 @@
                     [this, alive = m_alive, run = entry.run, number](const RunStopAnswer &answer) {
                         if (!*alive)
                             return;
-                        if (!answer.handle.empty() && answer.handle != run.copyInUse)
+                        const bool isFree = answer.handle != run.copyInUse && !run.isBeingCopied;
+                        if (!answer.handle.empty() && isFree)
                             m_hooks.freeCopy(run, answer.handle);
                         onAnswer(number, answer);
                     });
--- a/src/calls/runstopper.h
+++ b/src/calls/runstopper.h
@@ -20,11 +20,12 @@
 {
     RequestId id;
     TargetId target;
-    Incarnation startedAt = 0; ///< Of the target, as its entry said.
-    Endpoint endpoint;         ///< Of the target.
-    ZoneName zone;             ///< Of the target.
-    Endpoint destination;      ///< Of another target, which the call that stops a run has to name.
-    std::string copyInUse{};   ///< Handle of the copy from which the stream goes on; may be empty.
+    Incarnation startedAt = 0;  ///< Of the target, as its entry said.
+    Endpoint endpoint;          ///< Of the target.
+    ZoneName zone;              ///< Of the target.
+    Endpoint destination;       ///< Of another target, which the call that stops a run has to name.
+    std::string copyInUse{};    ///< Handle of the copy from which the stream goes on; may be empty.
+    bool isBeingCopied = false; ///< The stream may go on from a copy whose handle is not known yet.
 };
 
 /// What a target answered to the call that stops a run.
--- a/src/calls/tests/relaycalltest.cpp
+++ b/src/calls/tests/relaycalltest.cpp
@@ -380,6 +380,24 @@
     }
 }
 
+// Guards against a run that is told to end and whose stream then passes for whole.
+TEST(RelayCall, movedStreamThatEndsWithItsConnectionIsClosedBeforeItsRunEnds)
+{
+    begin(RetrySemantics::Stream);
+    RelayAnswerHead head = success();
+    head.endsWithConnection = true;
+    call->onHead(sent[0].exchange, head);
+    call->onBody(sent[0].exchange, event(1));
+    call->onTargetLeaving();
+    completeCopy();
+    call->onEnd(sent[0].exchange, absl::OkStatus(), true);
+    LONGS_EQUAL(0, ends);
+    endRun();
+    LONGS_EQUAL(2, sent.size());
+    LONGS_EQUAL(1, sent[1].resume->lastEvent);
+    STRCMP_EQUAL("h1", sent[1].resume->copy->handle.c_str());
+}
+
 TEST(RelayCall, movedStreamWhoseRunCannotBeEndedStaysAtItsTarget)
 {
     beginStream();
--- a/src/calls/tests/runstoppertest.cpp
+++ b/src/calls/tests/runstoppertest.cpp
@@ -152,6 +152,11 @@
     stopper->add(moved);
     timers.advance(RunStopper::CloseNoticeTime);
     calls[0]({RunStopResult::Stopped, "h"});
+    moved = run("copied");
+    moved.isBeingCopied = true;
+    stopper->add(moved);
+    timers.advance(RunStopper::CloseNoticeTime);
+    calls[1]({RunStopResult::Stopped, "h2"});
     CHECK(freed.empty());
 }
 
--- a/src/daemon/relaysession.cpp
+++ b/src/daemon/relaysession.cpp
@@ -435,7 +435,8 @@
             return;
         it->second.head = head;
         m_services.poison.onAnswering(m_fingerprint, it->second.target);
-        const RelayAnswerHead answer = m_services.bindings.readAnswerHead(head, m_caller.id);
+        RelayAnswerHead answer = m_services.bindings.readAnswerHead(head, m_caller.id);
+        answer.endsWithConnection = head.endsWithConnection;
         it->second.isRunOver = !answer.isMismatched && !isSuccessStatus(head.status);
         m_services.noteAnswer(
                 {it->second.target, it->second.incarnation, it->second.sentAt, m_caller.id.text()},
--- a/src/daemon/relaysession.h
+++ b/src/daemon/relaysession.h
@@ -209,6 +209,7 @@
     std::unique_ptr<RelayCall> m_call;
     std::map<std::uint64_t, TargetExchange> m_exchanges;
     std::map<std::uint64_t, TargetId> m_reservations; ///< Of copies under way, by move.
+    std::string m_copyHandle;                         ///< Of the latest copy that is complete.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     BufferBudget::Holder m_heldBytes;    ///< By the call.
     BufferBudget::Holder m_pendingBytes; ///< For the caller's connection.
--- a/src/daemon/relaysessioncopies.cpp
+++ b/src/daemon/relaysessioncopies.cpp
@@ -107,6 +107,7 @@
         } else {
             StreamCopy copy = asked;
             copy.handle = *handle;
+            m_copyHandle = *handle;
             m_call->onCopyResult(move, copy);
         }
         finishIfSettled();
--- a/src/daemon/relaysessionruns.cpp
+++ b/src/daemon/relaysessionruns.cpp
@@ -48,7 +48,6 @@
     AbandonedRun run = abandonedRun(entry);
     if (const ServiceTarget *const holder = m_services.targets.find(copy.holder))
         run.destination = holder->entry.endpoint;
-    run.copyInUse = copy.handle;
     m_services.stopRunAtOnce(std::move(run), releaseCallback(exchange));
 }
 
@@ -89,8 +88,8 @@
 
 AbandonedRun RelaySession::abandonedRun(const TargetExchange &exchange) const
 {
-    return {m_caller.id,       exchange.target, exchange.incarnation,
-            exchange.endpoint, exchange.zone,   endpointBeside(exchange)};
+    return {m_caller.id,   exchange.target,          exchange.incarnation, exchange.endpoint,
+            exchange.zone, endpointBeside(exchange), m_copyHandle,         !m_reservations.empty()};
 }
 
 // The call that stops a run has to name another address, to which the run's memory is copied after
--- a/src/daemon/tests/poisonsoak.cpp
+++ b/src/daemon/tests/poisonsoak.cpp
@@ -130,10 +130,19 @@
     if (span < pause)
         return;
     m_fleet.timers.scheduleAfter(pause, [this, left = span - pause] {
-        SimServer &server = *m_fleet.servers[m_callRandom.uniformBelow(m_fleet.servers.size())];
-        server.options.announcesLeaving = false;
-        server.options.leavingTime = 4s;
-        server.leave();
+        const SimServer &chosen =
+                *m_fleet.servers[m_callRandom.uniformBelow(m_fleet.servers.size())];
+        // A target that may only have lapsed is used where no other is ready.
+        const bool isOfAll = m_callRandom.chance(0.3);
+        for (const std::unique_ptr<SimServer> &server : m_fleet.servers) {
+            const bool isMeant =
+                    isOfAll ? server->options.service == "plain" : server.get() == &chosen;
+            if (!isMeant)
+                continue;
+            server->options.announcesLeaving = false;
+            server->options.leavingTime = 4s;
+            server->leave();
+        }
         removeEntries(left);
     });
 }
--- a/src/daemon/tests/topicmessagestest.cpp
+++ b/src/daemon/tests/topicmessagestest.cpp
@@ -57,8 +57,12 @@
                              R"({"era":1,"next":1,"proven_us":0,"records":[[]]})",
                              R"({"era":1,"next":1,"proven_us":0,"records":[["a",1,"?"]]})",
                              R"({"era":1,"next":1,"proven_us":0,"records":[["a",-1]]})",
-                             R"({"era":1,"next":1,"proven_us":0,"records":[],"outage_us":-4})",
-                             R"({"era":1,"next":1,"proven_us":0,"records":[],"outage_us":4,)"
-                             R"("outage_length_us":"x"})"})
+                             R"({"era":1,"next":1,"proven_us":0,"records":[],"outage_us":-4})"})
         CHECK(!decodeTopicTail(*parseJson(text)).ok());
+    KeyedTail tail;
+    tail.origin.sinceOutage = Duration(1s);
+    Json::Value json = encodeTopicTail(tail);
+    CHECK(decodeTopicTail(json).ok());
+    json["outage_length_us"] = "x";
+    CHECK(!decodeTopicTail(json).ok());
 }
--- a/src/net/h2ocall.cpp
+++ b/src/net/h2ocall.cpp
@@ -275,6 +275,7 @@
     m_isChunked = findHeader(head.headers, "transfer-encoding").has_value();
     m_overheadBytes = 0;
     m_isCloseDelimited = !m_isChunked && !findHeader(head.headers, "content-length");
+    head.endsWithConnection = m_isCloseDelimited;
     if (m_hooks.onHead)
         m_hooks.onHead(head);
 }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -52,6 +52,8 @@
 {
     int status = 200;
     HttpHeaders headers;
+    /// Of an answer that is received: its body ends with the connection alone.
+    bool endsWithConnection = false;
 };
 
 /// Returns whether answers of \a status have a body, whatever their fields say.
