RunStopper: runs at targets that can't be reached are called until their end

A run left at a target that can't be reached was called 8 times within 6.4 s and then given up.

Calls now go on every second until the run's deadline, also where no call is answered. What waits for the end of the run is told when the first calls were of no use, as before, and a planned stop of the node does not wait for such runs.

Evidence: runsInAZoneThatWasCutOffAreStoppedWhenItIsReachedAgain failed on (a cut of 12 s), and passes. aTargetIsCalledUntilTheDeadlineOfTheRun is new.

--- a/src/calls/runstopper.cpp
+++ b/src/calls/runstopper.cpp
@@ -62,7 +62,7 @@
         entry.addedAt = m_timers.now();
     }
     entry.onReleased = std::move(onReleased);
-    entry.isUnreachableTold = false;
+    entry.isReleaseTold = false;
     schedule(number, delay);
 }
 
@@ -110,8 +110,9 @@
     Entry &entry = m_runs.at(number);
     ++entry.calls;
     ++entry.openCalls;
-    const std::uint32_t counted = entry.calls - entry.busyCalls;
-    if (counted < MaxCalls)
+    const std::uint32_t counted = countedCalls(entry);
+    const bool mayGoOn = m_timers.now() < entry.run.until;
+    if (counted < MaxCalls || mayGoOn)
         schedule(number, gapAfter(counted));
     m_hooks.stopRun(entry.run,
                     [this, alive = m_alive, run = entry.run, number](const RunStopAnswer &answer) {
@@ -122,6 +123,26 @@
                             m_hooks.freeCopy(run, answer.handle);
                         onAnswer(number, answer);
                     });
+    if (counted >= MaxCalls && mayGoOn)
+        release(number, RunStopResult::Unknown);
+}
+
+// The callback may add or cancel runs.
+void RunStopper::release(std::uint64_t number, RunStopResult result)
+{
+    Entry &entry = m_runs.at(number);
+    if (!entry.onReleased || std::exchange(entry.isReleaseTold, true))
+        return;
+    const ReleaseCallback onReleased = entry.onReleased;
+    onReleased(result);
+}
+
+std::size_t RunStopper::pending() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_runs.begin(), m_runs.end(), [](const auto &each) {
+                return !each.second.isUnreachable && countedCalls(each.second) < MaxCalls;
+            }));
 }
 
 // Doubles from CallGap on once calls are not frequent any more.
@@ -141,6 +162,7 @@
         return;
     Entry &entry = it->second;
     --entry.openCalls;
+    entry.isUnreachable = answer.result == RunStopResult::Unreachable;
     if (answer.result == RunStopResult::Stopped || answer.result == RunStopResult::NoSuchRun) {
         end(number, answer.result);
         return;
@@ -150,12 +172,8 @@
         end(number, answer.result);
         return;
     }
-    if (answer.result == RunStopResult::Unreachable && entry.onReleased
-        && !std::exchange(entry.isUnreachableTold, true)) {
-        // The callback may add or cancel runs.
-        const ReleaseCallback onReleased = entry.onReleased;
-        onReleased(answer.result);
-    }
+    if (answer.result == RunStopResult::Unreachable)
+        release(number, answer.result);
 }
 
 // Where the answer calls for another pause than the one after each call.
@@ -171,7 +189,10 @@
     } else if (result == RunStopResult::Unreachable && entry.timer != NoTimer) {
         ++entry.unreachableCalls;
         if (entry.unreachableCalls < MaxUnreachableCalls)
-            schedule(number, UnreachableGap * (1U << (entry.unreachableCalls - 1)));
+            schedule(number,
+                     std::min(UnreachableGap * (1U << (entry.unreachableCalls - 1)), MaxCallGap));
+        else if (m_timers.now() < entry.run.until)
+            schedule(number, MaxCallGap);
         else
             m_timers.cancel(std::exchange(entry.timer, NoTimer));
     }
--- a/src/calls/runstopper.h
+++ b/src/calls/runstopper.h
@@ -26,6 +26,7 @@
     Endpoint destination;       ///< Of another target, which the call that stops a run has to name.
     std::string copyInUse{};    ///< Handle of the copy from which the stream goes on; may be empty.
     bool isBeingCopied = false; ///< The stream may go on from a copy whose handle is not known yet.
+    TimePoint until{};          ///< Its deadline, after which the target ends it by itself.
 };
 
 /// What a target answered to the call that stops a run.
@@ -49,7 +50,8 @@
 
 /// Stops runs that targets continue after the connection of their request has been closed. A target
 /// has some time to end the run by itself; then it is told to, until it says that there is no such
-/// run, or a number of calls has failed. Any call may stay without an answer while others get
+/// run, or a number of calls has failed and the run's deadline has passed: a target may be reached
+/// again after a long time, with the run. Any call may stay without an answer while others get
 /// through, so the next one does not wait for it. A run that is being copied can't be stopped
 /// before the copy is complete.
 class RunStopper
@@ -62,9 +64,10 @@
     /// Number of calls after which the time between them doubles with each, up to MaxCallGap.
     static constexpr std::uint32_t FrequentCalls = 12;
     static constexpr Duration MaxCallGap = std::chrono::seconds(1);
-    /// Time from a call that could not be sent to the next; doubled after each.
+    /// Time from a call that could not be sent to the next; doubled after each, up to MaxCallGap.
     static constexpr Duration UnreachableGap = std::chrono::milliseconds(50);
-    /// Number of calls that are refused or lost, and of those that do not reach their target.
+    /// Number of calls that are refused or lost, and of those that do not reach their target, after
+    /// which calls are made every MaxCallGap until the run's deadline.
     static constexpr std::uint32_t MaxCalls = 20;
     static constexpr std::uint32_t MaxUnreachableCalls = 8;
     /// Time between calls while the target is busy with the run.
@@ -101,8 +104,8 @@
 
     void add(AbandonedRun run);
     /// Makes the first call at once, since something waits for the end of the run. Calls \a
-    /// onReleased when the target can't be reached for the first time, and when no further call is
-    /// made: the run has ended, or goes on in spite of all calls.
+    /// onReleased once while the run may go on, when the target can't be reached or MaxCalls calls
+    /// were of no use; and when no further call is made.
     void addUrgent(AbandonedRun run, ReleaseCallback onReleased);
     /// Called when the request \a id is about to be sent to \a target again. A stop would end the
     /// new run.
@@ -111,6 +114,9 @@
     void callAllNow();
     /// Returns the number of runs that may continue.
     std::size_t size() const { return m_runs.size(); }
+    /// Returns the number of those that a planned stop of the process waits for: their targets can
+    /// be reached, and calls are frequent.
+    std::size_t pending() const;
 
 private:
     struct Entry
@@ -118,7 +124,8 @@
         AbandonedRun run;
         TimePoint addedAt{};
         ReleaseCallback onReleased{};
-        bool isUnreachableTold = false;
+        bool isReleaseTold = false;
+        bool isUnreachable = false;         ///< By the latest call that has ended.
         std::uint32_t calls = 0;            ///< That were made.
         std::uint32_t busyCalls = 0;        ///< That were answered by Busy.
         std::uint32_t unreachableCalls = 0; ///< That did not reach the target.
@@ -132,6 +139,8 @@
     std::uint64_t find(const AbandonedRun &run) const;
     void schedule(std::uint64_t number, Duration delay);
     void call(std::uint64_t number);
+    void release(std::uint64_t number, RunStopResult result);
+    static std::uint32_t countedCalls(const Entry &entry) { return entry.calls - entry.busyCalls; }
     void onAnswer(std::uint64_t number, const RunStopAnswer &answer);
     void scheduleNext(std::uint64_t number, RunStopResult result);
     void end(std::uint64_t number, RunStopResult result);
--- a/src/calls/tests/runstoppertest.cpp
+++ b/src/calls/tests/runstoppertest.cpp
@@ -126,12 +126,38 @@
     for (std::uint32_t i = 0; i < RunStopper::MaxUnreachableCalls; ++i) {
         LONGS_EQUAL(i + 1, calls.size());
         calls[i]({RunStopResult::Unreachable, {}});
-        timers.advance(RunStopper::UnreachableGap * (1U << i));
+        timers.advance(std::min(RunStopper::UnreachableGap * (1U << i), RunStopper::MaxCallGap));
     }
     CHECK(ends.at(0) == RunStopResult::Unreachable);
     LONGS_EQUAL(RunStopper::MaxUnreachableCalls, calls.size());
 }
 
+// Guards against a run that goes on since its target could be reached again only after the calls
+// had been given up.
+TEST(RunStopper, aTargetIsCalledUntilTheDeadlineOfTheRun)
+{
+    for (const RunStopResult result : {RunStopResult::Unreachable, RunStopResult::Unknown}) {
+        calls.clear();
+        ends.clear();
+        AbandonedRun lasting = run();
+        lasting.until = timers.now() + 30s;
+        int released = 0;
+        stopper->addUrgent(lasting, [&released](RunStopResult) { ++released; });
+        for (int i = 0; i < 280; ++i) {
+            timers.advance(100ms);
+            for (const RunStopper::Hooks::Callback &callback : std::exchange(calls, {}))
+                callback({result, {}});
+        }
+        LONGS_EQUAL(1, stopper->size());
+        LONGS_EQUAL(1, released);
+        LONGS_EQUAL(0, stopper->pending());
+        timers.advance(RunStopper::MaxCallGap);
+        calls.at(0)({RunStopResult::Stopped, {}});
+        CHECK(ends.at(0) == RunStopResult::Stopped);
+        LONGS_EQUAL(2, released);
+    }
+}
+
 TEST(RunStopper, aRunIsStoppedByOneSeriesOfCalls)
 {
     int released = 0;
--- a/src/daemon/entrynode.cpp
+++ b/src/daemon/entrynode.cpp
@@ -247,7 +247,7 @@
         logLine(LogPart::Drain, LogLevel::Info,
                 "Phase is now " + std::string(drainPhaseName(phase)) + ".");
     };
-    hooks.requestsInProgress = [this] { return m_sessions.size() + m_runStopper->size(); };
+    hooks.requestsInProgress = [this] { return m_sessions.size() + m_runStopper->pending(); };
     hooks.unsentAnswers = [this] { return m_loop.server().unsentAnswers().answers; };
     hooks.unsettledClaims = [] { return std::size_t{0}; };
     hooks.handOver = [] {};
--- a/src/daemon/relaysessionruns.cpp
+++ b/src/daemon/relaysessionruns.cpp
@@ -88,8 +88,17 @@
 
 AbandonedRun RelaySession::abandonedRun(const TargetExchange &exchange) const
 {
-    return {m_caller.id,   exchange.target,          exchange.incarnation, exchange.endpoint,
-            exchange.zone, endpointBeside(exchange), m_copyHandle,         !m_reservations.empty()};
+    AbandonedRun run;
+    run.id = m_caller.id;
+    run.target = exchange.target;
+    run.startedAt = exchange.incarnation;
+    run.endpoint = exchange.endpoint;
+    run.zone = exchange.zone;
+    run.destination = endpointBeside(exchange);
+    run.copyInUse = m_copyHandle;
+    run.isBeingCopied = !m_reservations.empty();
+    run.until = m_call->request().deadline;
+    return run;
 }
 
 // The call that stops a run has to name another address, to which the run's memory is copied after
--- a/src/daemon/tests/leftruntest.cpp
+++ b/src/daemon/tests/leftruntest.cpp
@@ -329,6 +329,33 @@
     }
 }
 
+// Guards against runs that go on in a zone that was cut off for longer than their stops were tried.
+TEST(LeftRuns, runsInAZoneThatWasCutOffAreStoppedWhenItIsReachedAgain)
+{
+    static constexpr Duration StableTime = 3s;
+    build(7);
+    forEachEngine([](SimServer::Options &server) { server.events = 600; });
+    // All streams begin in the zone.
+    turnAllAwayAt([this](std::size_t server) {
+        return fleet->servers[server]->options.zone != ZoneName("z0");
+    });
+    startStreams("/stream/x");
+    for (const std::unique_ptr<SimServer> &server : fleet->servers) {
+        if (server->options.service == "engines" && server->options.zone == ZoneName("z0"))
+            server->resetConnections();
+    }
+    // The resets have arrived, and no call that ends a run has.
+    fleet->run(1ms);
+    fleet->cutZone("z0");
+    fleet->run(12s);
+    CHECK(!fleet->overlaps().empty());
+    fleet->cutZone(std::nullopt);
+    const TimePoint reachedAt = fleet->timers.now();
+    fleet->run(30s);
+    for (const SimOverlap &overlap : fleet->overlaps())
+        CHECK(overlap.until <= reachedAt + StableTime + MaxOverlap);
+}
+
 TEST(LeftRuns, runsOfCallersThatLeftAreStoppedThoughCallsFail)
 {
     build(7);
