Randomised runs of the own interface: calls about runs that fail, timers before messages

Change: the fault "control-calls-fail" of the fault matrix and the randomised runs lets cancellations, look-ups and probes hang, be reset, lose their answer or get it late. A paused node runs its timers first in half of the cases.

--- a/src/calls/tests/faultmatrix.cpp
+++ b/src/calls/tests/faultmatrix.cpp
@@ -23,6 +23,7 @@
         {MatrixFault::AnswerCrossed, "answer-crossed"},
         {MatrixFault::AnswerDoubled, "answer-doubled"},
         {MatrixFault::AnswerTruncated, "answer-truncated"},
+        {MatrixFault::ControlCallsFail, "control-calls-fail"},
         {MatrixFault::LogDown, "log-down"},
         {MatrixFault::LogSlow, "log-slow"},
         {MatrixFault::LogLateEffect, "log-late-effect"},
@@ -220,6 +221,8 @@
             world.network.breakAll(
                     [&target](const SimConnection &each) { return each.to.name == target; });
         });
+    case MatrixFault::ControlCallsFail:
+        return world.network.failControlCalls(target, 1, 20s);
     case MatrixFault::LogDown:
     case MatrixFault::LogSlow:
     case MatrixFault::LogLateEffect:
--- a/src/calls/tests/faultmatrix.h
+++ b/src/calls/tests/faultmatrix.h
@@ -24,6 +24,7 @@
     AnswerCrossed,
     AnswerDoubled,
     AnswerTruncated,
+    ControlCallsFail, ///< Calls about a run fail while its own connection works.
     LogDown,
     LogSlow,
     LogLateEffect, ///< An append reported as failed takes effect later.
--- a/src/calls/tests/randomisedrun.cpp
+++ b/src/calls/tests/randomisedrun.cpp
@@ -66,6 +66,8 @@
     for (const auto &[fault, count] : m_world.network.faultCounts) {
         if (fault != ConnectionFault::None)
             m_report.counts["connection faults"] += count;
+        if (fault == ConnectionFault::Hang)
+            m_report.counts["calls that hang"] += count;
     }
     m_report.violations = m_world.violations;
     return m_report;
@@ -173,6 +175,18 @@
     m_world.log.faults = FakeLog::Faults();
 }
 
+// At most targets, as few requests are given up in the time.
+void RandomisedRun::failControlCalls(Duration span)
+{
+    const double share = 0.1 + 0.6 * m_random.uniform();
+    for (const auto &engine : m_world.engines) {
+        if (m_random.chance(0.8))
+            m_world.network.failControlCalls(engine->place.name, share, span);
+    }
+    for (const auto &service : m_world.services)
+        m_world.network.failControlCalls(service->place.name, share, span);
+}
+
 void RandomisedRun::injectFault(MatrixFault fault)
 {
     const std::size_t node = randomNode();
@@ -204,6 +218,9 @@
                     [&target](const SimConnection &each) { return each.to.name == target; });
         });
         break;
+    case MatrixFault::ControlCallsFail:
+        failControlCalls(span);
+        break;
     case MatrixFault::LogDown:
         log.isUnavailable = true;
         m_world.schedule(span, [this] { clearLogFaults(); });
@@ -230,7 +247,7 @@
         m_world.partitionZone(entry.place.zone, span);
         break;
     case MatrixFault::DaemonPaused:
-        m_world.pauseDaemon(node, span);
+        m_world.pauseDaemon(node, span, m_random.chance(0.5));
         break;
     case MatrixFault::DrainBegun:
         drainDaemon(node);
--- a/src/calls/tests/randomisedrun.h
+++ b/src/calls/tests/randomisedrun.h
@@ -51,6 +51,7 @@
     std::size_t randomNode();
     std::string randomTarget();
     void clearLogFaults();
+    void failControlCalls(Duration span);
     void countOutcomes();
     void countClaims(std::size_t node);
     void checkFinalState();
--- a/src/calls/tests/randomisedtest.cpp
+++ b/src/calls/tests/randomisedtest.cpp
@@ -34,6 +34,7 @@
     CHECK(total.counts["resumes of a generation"] > 0);
     CHECK(total.counts["resumes by token"] > 0);
     CHECK(total.counts["answers dropped"] > 0);
+    CHECK(total.faults["control-calls-fail"] > 0);
 }
 
 TEST(Randomised, sendBeforeClaimReadBackIsDetected)
--- a/src/calls/tests/simdaemon.cpp
+++ b/src/calls/tests/simdaemon.cpp
@@ -320,6 +320,7 @@
 {
     SimEngine &probedEngine = engine(target);
     const ConnectionPtr opened = connection(probedEngine.place);
+    opened->isControlCall = true;
     opened->onBroken = [this, id, exchange](const absl::Status &status, bool) {
         m_generations.at(id).call->onExchangeFailed(exchange, status, false);
     };
@@ -369,6 +370,7 @@
     const ConnectionPtr opened = connection(target.place);
     m_lastTarget = lastTarget;
     m_lastConnection = latest;
+    opened->isControlCall = true;
     opened->onBroken = [this, number](const absl::Status &status, bool) {
         m_cancellations->onAnswer(number, status);
     };
--- a/src/calls/tests/simnetwork.cpp
+++ b/src/calls/tests/simnetwork.cpp
@@ -1,6 +1,7 @@
 #include "calls/tests/simnetwork.h"
 
 #include <algorithm>
+#include <array>
 
 namespace currantwalk {
 
@@ -75,10 +76,24 @@
     });
 }
 
+ConnectionFault SimNetwork::drawControlFault(const SimConnection &connection)
+{
+    static constexpr std::array Faults{ConnectionFault::ResetBefore, ConnectionFault::ResetAfter,
+                                       ConnectionFault::LoseAnswer, ConnectionFault::LateAnswer,
+                                       ConnectionFault::Hang};
+    const auto failing = m_failingCalls.find(connection.to.name);
+    if (!connection.isControlCall || failing == m_failingCalls.end()
+        || failing->second.until <= timers.now() || !random.chance(failing->second.share))
+        return ConnectionFault::None;
+    return Faults[random.uniformBelow(Faults.size())];
+}
+
 void SimNetwork::connect(const ConnectionPtr &connection, const std::function<bool()> &isListening,
                          std::function<void()> handler)
 {
     connection->fault = drawFault();
+    if (connection->fault == ConnectionFault::None)
+        connection->fault = drawControlFault(*connection);
     ++faultCounts[connection->fault];
     connections.push_back(connection);
     const bool isReset = connection->fault == ConnectionFault::ResetBefore
@@ -99,6 +114,8 @@
         if (!isListening())
             return breakConnection(connection, makeError(ErrorCode::ConnectFailed, "refused"));
         connection->isRequestDelivered = true;
+        if (connection->fault == ConnectionFault::Hang)
+            return;
         handler();
         if (connection->fault == ConnectionFault::ResetAfter)
             breakConnection(connection, lost("reset after the write"));
@@ -136,6 +153,11 @@
     m_stalls[{node, target}] = timers.now() + span;
 }
 
+void SimNetwork::failControlCalls(const std::string &target, double share, Duration span)
+{
+    m_failingCalls[target] = FailingCalls{share, timers.now() + span};
+}
+
 void SimNetwork::partitionZone(const std::string &zone, Duration span)
 {
     m_partitions[zone] = Partition{timers.now(), timers.now() + span};
--- a/src/calls/tests/simnetwork.h
+++ b/src/calls/tests/simnetwork.h
@@ -28,6 +28,7 @@
     DoubleAnswer, ///< Each message is delivered twice.
     CrossAnswer,  ///< An answer to another exchange is delivered first.
     Truncate,     ///< The connection closes instead of delivering the next message.
+    Hang,         ///< The target accepts the connection and does nothing else with it.
 };
 
 /// One end of a link.
@@ -48,6 +49,7 @@
     bool isRequestDelivered = false;
     bool isBrokenBeforeDelivery = false; ///< The connection broke before the request was delivered.
     ConnectionFault fault = ConnectionFault::None;
+    bool isControlCall = false; ///< For a call about another exchange, such as a cancellation.
     /// Called once at the node when the connection breaks, with the error and whether anything was
     /// sent.
     std::function<void(const absl::Status &, bool)> onBroken;
@@ -80,6 +82,9 @@
     void breakAll(const std::function<bool(const SimConnection &)> &isAffected);
 
     void stallLink(const std::string &node, const std::string &target, Duration span);
+    /// Lets the control calls to \a target fail with probability \a share, each in a way of its
+    /// own, while its other connections work.
+    void failControlCalls(const std::string &target, double share, Duration span);
     void partitionZone(const std::string &zone, Duration span);
     bool isPartitioned(const std::string &zone, const std::string &other) const;
     Duration partitionDuration(const std::string &zone, const std::string &other) const;
@@ -98,11 +103,19 @@
         TimePoint until{};
     };
 
+    struct FailingCalls
+    {
+        double share = 0;
+        TimePoint until{};
+    };
+
+    ConnectionFault drawControlFault(const SimConnection &connection);
     TimePoint blockedUntil(const SimConnection &connection) const;
     void deliver(const ConnectionPtr &connection, TimePoint when, std::function<void()> handler);
     void notifyNode(const ConnectionPtr &connection, const std::function<void()> &handler);
 
     std::map<std::pair<std::string, std::string>, TimePoint> m_stalls;
+    std::map<std::string, FailingCalls> m_failingCalls; // By target.
     std::map<std::string, Partition> m_partitions; // By zone, which is partitioned from all others.
 };
 
--- a/src/calls/tests/simplain.cpp
+++ b/src/calls/tests/simplain.cpp
@@ -123,6 +123,7 @@
     Plain &row = m_plain.at(id);
     SimService &target = service(to);
     const ConnectionPtr opened = connection(target.place);
+    opened->isControlCall = true;
     row.connections[exchange] = opened;
     opened->onBroken = [this, id, exchange](const absl::Status &status, bool) {
         m_plain.at(id).call->onKeyLookup(exchange, status);
--- a/src/calls/tests/simworld.cpp
+++ b/src/calls/tests/simworld.cpp
@@ -66,13 +66,13 @@
     node.daemon.reset();
 }
 
-void SimWorld::pauseDaemon(std::size_t number, Duration span)
+void SimWorld::pauseDaemon(std::size_t number, Duration span, bool areTimersFirst)
 {
     NodeTimers &paused = nodes[number]->timers;
     if (paused.isPaused())
         return;
     paused.pause();
-    schedule(span, [&paused] { paused.resume(); });
+    schedule(span, [&paused, areTimersFirst] { paused.resume(areTimersFirst); });
 }
 
 // Answers of the log are deferred while the node is paused and discarded after it was killed.
--- a/src/calls/tests/simworld.h
+++ b/src/calls/tests/simworld.h
@@ -47,7 +47,7 @@
 
     void startDaemon(std::size_t node);
     void killDaemon(std::size_t node);
-    void pauseDaemon(std::size_t node, Duration span);
+    void pauseDaemon(std::size_t node, Duration span, bool areTimersFirst = false);
     void killTarget(const std::string &name, Duration restartAfter,
                     bool keepsConnectionsOpen = false);
     void reclaimTarget(const std::string &name, Duration notice, Duration restartAfter);
