--- a/src/daemon/tests/poisonsoak.cpp
+++ b/src/daemon/tests/poisonsoak.cpp
@@ -15,8 +15,6 @@
 static constexpr std::size_t ToleratedHeldOff = 2;
 static constexpr Duration MaxOverlap = 400ms;
 static constexpr Duration RevokeTime = 5s;
-static constexpr Duration StopGrace = 8s;
-static constexpr Duration Span = 40s;
 // The longest time-out of a route, and some more.
 static constexpr Duration Rundown = 30s;
 static constexpr Duration LookalikeGap = 100ms;
@@ -56,97 +54,6 @@
     }
 }
 
-void PoisonSoak::varyPlatform()
-{
-    const bool givesCopies = m_platformRandom.chance(0.7);
-    for (const std::unique_ptr<SimServer> &server : m_fleet.servers) {
-        if (server->options.service != "engines")
-            continue;
-        server->options.dropsRuns = m_platformRandom.chance(0.5);
-        server->options.givesCopies = givesCopies;
-    }
-    m_fleet.store.pageSize = 1 + m_platformRandom.uniformBelow(60);
-    writeForeignKeys(Span);
-}
-
-void PoisonSoak::varyAnswers()
-{
-    for (const std::unique_ptr<SimServer> &server : m_fleet.servers) {
-        if (m_answerRandom.chance(0.7))
-            server->options.copyTime = m_answerRandom.jitter(3s);
-    }
-    if (m_answerRandom.chance(0.5)) {
-        // A stream of the soak has about 400 bytes in a second.
-        const std::size_t rate = 200 + m_answerRandom.uniformBelow(400);
-        m_fleet.net.readRate = [rate](const std::string &client) {
-            return client == EntryFleet::CallersHost ? rate : 0;
-        };
-    }
-    loseAnswers(Span);
-    stopNodes(Span);
-}
-
-void PoisonSoak::varyCalls()
-{
-    for (const std::unique_ptr<SimServer> &server : m_fleet.servers) {
-        if (server->options.service != "engines")
-            continue;
-        server->options.dropsRuns = m_callRandom.chance(0.3);
-        server->options.givesCopies = true;
-        if (m_callRandom.chance(0.7))
-            server->options.failedCallShare = 0.5 * m_callRandom.uniform();
-    }
-    haltNodes(Span);
-    removeEntries(Span);
-}
-
-// Pauses come in series and overlap.
-void PoisonSoak::haltNodes(Duration span)
-{
-    const Duration pause = 500ms + m_callRandom.jitter(8s);
-    if (span < pause)
-        return;
-    m_fleet.timers.scheduleAfter(pause, [this, left = span - pause] {
-        const std::size_t node = m_callRandom.uniformBelow(m_fleet.nodeCount());
-        const Duration halt = 1s + m_callRandom.jitter(4s);
-        const bool areTimersFirst = m_callRandom.chance(0.5);
-        if (m_fleet.isUp(node) && m_halted.insert(node).second) {
-            noteNode(node, halt);
-            m_fleet.pauseNode(node);
-            m_fleet.timers.scheduleAfter(halt, [this, node, areTimersFirst] {
-                m_halted.erase(node);
-                if (m_fleet.isUp(node))
-                    m_fleet.resumeNode(node, areTimersFirst);
-            });
-        }
-        haltNodes(left);
-    });
-}
-
-// The servers serve for longer than they may be sent requests.
-void PoisonSoak::removeEntries(Duration span)
-{
-    const Duration pause = 500ms + m_callRandom.jitter(4s);
-    if (span < pause)
-        return;
-    m_fleet.timers.scheduleAfter(pause, [this, left = span - pause] {
-        const SimServer &chosen =
-                *m_fleet.servers[m_callRandom.uniformBelow(m_fleet.servers.size())];
-        // A target that may only have lapsed is used where no other is ready.
-        const bool isOfAll = m_callRandom.chance(0.3);
-        for (const std::unique_ptr<SimServer> &server : m_fleet.servers) {
-            const bool isMeant =
-                    isOfAll ? server->options.service == "plain" : server.get() == &chosen;
-            if (!isMeant)
-                continue;
-            server->options.announcesLeaving = false;
-            server->options.leavingTime = 4s;
-            server->leave();
-        }
-        removeEntries(left);
-    });
-}
-
 std::string PoisonSoak::findLateArrivals() const
 {
     const SimExcuse isExcused = [this](const std::string &host, TimePoint from, TimePoint until) {
@@ -162,65 +69,6 @@
     return late == 0 ? "" : "servers got " + std::to_string(late) + " requests after removal; ";
 }
 
-void PoisonSoak::loseAnswers(Duration span)
-{
-    const Duration pause = 200ms + m_answerRandom.jitter(4s);
-    if (span < pause)
-        return;
-    m_fleet.timers.scheduleAfter(pause, [this, left = span - pause] {
-        m_fleet.servers[m_answerRandom.uniformBelow(m_fleet.servers.size())]->loseAnswers();
-        loseAnswers(left);
-    });
-}
-
-// Stops come in series and overlap.
-void PoisonSoak::stopNodes(Duration span)
-{
-    const Duration pause = 1s + m_answerRandom.jitter(12s);
-    if (span < pause)
-        return;
-    m_fleet.timers.scheduleAfter(pause, [this, left = span - pause] {
-        const std::size_t node = m_answerRandom.uniformBelow(m_fleet.nodeCount());
-        if (m_fleet.isUp(node) && m_fleet.node(node).isReady()) {
-            m_fleet.node(node).beginDrain();
-            killWhenStopped(node, m_fleet.timers.now() + StopGrace);
-        }
-        stopNodes(left);
-    });
-}
-
-// The node is killed by now, and started again, if a disruption has hit it meanwhile.
-void PoisonSoak::killWhenStopped(std::size_t node, TimePoint killedAt)
-{
-    constexpr Duration CheckInterval = 100ms;
-    if (!m_fleet.isUp(node) || m_fleet.node(node).isReady())
-        return;
-    if (m_fleet.hasStopped(node) || m_fleet.timers.now() >= killedAt) {
-        restart(node, 500ms);
-        return;
-    }
-    m_fleet.timers.scheduleAfter(CheckInterval,
-                                 [this, node, killedAt] { killWhenStopped(node, killedAt); });
-}
-
-// Some of them sort between the keys of servers; the empty one comes first of all.
-void PoisonSoak::writeForeignKeys(Duration span)
-{
-    if (span < Duration::zero())
-        return;
-    const std::size_t keys = m_platformRandom.uniformBelow(12);
-    for (std::size_t i = 0; i < keys; ++i) {
-        std::string key = m_platformRandom.chance(0.5) ? "t1" : "";
-        for (std::size_t size = m_platformRandom.uniformBelow(6); size > 0; --size)
-            key += static_cast<char>(m_platformRandom.uniformBelow(256));
-        m_fleet.store.append(EntryFleet::TargetsTopic, key, std::string("of another writer"));
-    }
-    if (m_platformRandom.chance(0.2))
-        m_fleet.store.compact(EntryFleet::TargetsTopic);
-    const Duration pause = 1s + m_platformRandom.jitter(5s);
-    m_fleet.timers.scheduleAfter(pause, [this, left = span - pause] { writeForeignKeys(left); });
-}
-
 std::string PoisonSoak::findOverlaps() const
 {
     for (const SimOverlap &overlap : m_fleet.overlaps()) {
@@ -408,26 +256,6 @@
     }
 }
 
-// One server of a service, or all, name a limit for some seconds, and another one after it.
-void PoisonSoak::nameLimits(Duration span)
-{
-    const Duration until = 4s + m_limitRandom.jitter(8s);
-    if (span < until)
-        return;
-    const std::string service = m_limitRandom.chance(0.5) ? "plain" : "engines";
-    const bool isOfAll = m_limitRandom.chance(0.3);
-    const std::size_t only = m_limitRandom.uniformBelow(m_fleet.servers.size());
-    for (std::size_t i = 0; i < m_fleet.servers.size(); ++i) {
-        SimServer &server = *m_fleet.servers[i];
-        if (i != only && !(isOfAll && server.options.service == service))
-            continue;
-        server.setLimit(m_limitRandom.chance(0.1) ? 0 : 0.3 + 20 * m_limitRandom.uniform());
-        if (m_limitRandom.chance(0.5))
-            m_fleet.timers.scheduleAfter(until, [&server] { server.setLimit(std::nullopt); });
-    }
-    m_fleet.timers.scheduleAfter(until, [this, left = span - until] { nameLimits(left); });
-}
-
 void PoisonSoak::turnRequestsAway(const SimServer &server, Duration span)
 {
     const bool isOfAll = m_random.chance(0.3);
--- a/src/daemon/tests/poisonsoak.h
+++ b/src/daemon/tests/poisonsoak.h
@@ -2,6 +2,7 @@
 #define CURRANTWALK_DAEMON_TESTS_POISONSOAK_H
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -56,6 +57,8 @@
     Report run();
 
 private:
+    static constexpr Duration Span = std::chrono::seconds(40); ///< Of the requests and faults.
+
     /// What a disruption concerns.
     enum class Concern {
         Nodes, ///< Or their links.
@@ -79,15 +82,17 @@
     void disturbServers(Duration span);
     void disturbStore(Duration span);
     void nameLimits(Duration span);
+    /// Runs \a action after each pause that \a drawPause returns, until \a span is over.
+    void repeat(Duration span, const std::function<Duration()> &drawPause,
+                const std::function<void()> &action);
     void varyPlatform();
     void writeForeignKeys(Duration span);
     void varyAnswers();
     void varyCalls();
-    void haltNodes(Duration span);
-    void removeEntries(Duration span);
+    void haltRandomNode();
+    void removeEntries();
     std::string findLateArrivals() const;
-    void loseAnswers(Duration span);
-    void stopNodes(Duration span);
+    void stopRandomNode();
     void killWhenStopped(std::size_t node, TimePoint killedAt);
     std::string findOverlaps() const;
     std::string findRunsWithoutKey();
